Serve requests with a control thread and traffic workers

Cause: the reducer had no process around it.

Change: the daemon crate (control actor, driver of effects, caller and operator listeners, relay with end marker check, metrics) and the commands serve, status and drain. Peers are not connected yet.

After: it compiles and lints clean; not run yet.

--- /dev/null
+++ b/crates/daemon/src/driver.rs
@@ -0,0 +1,69 @@
+//! Carries out the effects that need input or output.
+
+use std::rc::Rc;
+
+use actix::Addr;
+use briarshift_control::{Effect, Kind};
+use briarshift_peer::Transport;
+use briarshift_platform::{Store, VmList};
+use briarshift_target::Target;
+
+use crate::control::{Control, Input};
+
+/// The borders to the outside, as trait objects.
+pub(crate) struct Driver {
+    pub(crate) store: Rc<dyn Store>,
+    pub(crate) vms: Rc<dyn VmList>,
+    pub(crate) targets: Rc<dyn Target>,
+    pub(crate) peers: Box<dyn Transport>,
+}
+
+impl Driver {
+    /// Starts an effect; its answer comes back to `control` as an event.
+    pub(crate) fn carry_out(&self, effect: Effect, control: Addr<Control>) {
+        match effect {
+            Effect::Send { to, address, message } => self.peers.send(&to, address, message),
+            Effect::Store { ticket, operation } => {
+                let store = Rc::clone(&self.store);
+                answer(control, async move {
+                    Kind::Store { ticket, result: store.execute(operation).await }
+                });
+            }
+            Effect::List => {
+                let vms = Rc::clone(&self.vms);
+                answer(control, async move { Kind::List(vms.list().await) });
+            }
+            Effect::Poll { target, address } => {
+                let targets = Rc::clone(&self.targets);
+                answer(control, async move {
+                    Kind::Load { result: targets.load(address).await, target }
+                });
+            }
+            Effect::Changes { target, address, after } => {
+                let targets = Rc::clone(&self.targets);
+                answer(control, async move {
+                    Kind::Changes { result: targets.changes(address, after).await, target }
+                });
+            }
+            Effect::Order { target, address, order } => {
+                let targets = Rc::clone(&self.targets);
+                answer(control, async move {
+                    Kind::Ordered { result: targets.order(address, order).await, target }
+                });
+            }
+            Effect::Cancel { address, id } => {
+                let targets = Rc::clone(&self.targets);
+                actix_rt::spawn(async move {
+                    if let Err(err) = targets.cancel(address, id).await {
+                        log::info!("event=cancel_failed request={id} error={:?}", err.to_string());
+                    }
+                });
+            }
+            Effect::Decide { .. } | Effect::InForce(_) | Effect::Log(_) | Effect::Drained => {}
+        }
+    }
+}
+
+fn answer(control: Addr<Control>, event: impl Future<Output = Kind> + 'static) {
+    actix_rt::spawn(async move { control.do_send(Input(event.await)) });
+}
--- /dev/null
+++ b/crates/daemon/src/worker.rs
@@ -0,0 +1,217 @@
+//! Traffic workers: carry out decisions on one request after another.
+
+use std::rc::Rc;
+
+use actix::Addr;
+use actix_web::HttpResponse;
+use actix_web::http::StatusCode;
+use actix_web::web::Bytes;
+use briarshift_control::Kind;
+use briarshift_control::booking;
+use briarshift_control::request::{Arrival, Decision, End, Event, Send, Tokens};
+use briarshift_target::{Answer, Call, Failure, Method, Target};
+use briarshift_units::RequestId;
+use smol_str::SmolStr;
+use tokio::sync::{mpsc, oneshot};
+
+use crate::answer;
+use crate::control::{Arrived, Control, Input};
+use crate::relay::{self, Relay};
+
+/// Statuses with which a target refuses a request that it has not run.
+const REFUSALS: [u16; 2] = [429, 503];
+
+/// A request as a worker read it.
+pub(crate) struct Job {
+    pub(crate) arrival: Arrival,
+    pub(crate) method: Method,
+    pub(crate) path: String,
+    pub(crate) content_type: Option<SmolStr>,
+    pub(crate) body: Bytes,
+}
+
+/// One traffic thread's way to the control thread and to targets.
+pub(crate) struct Worker {
+    control: Addr<Control>,
+    targets: Rc<dyn Target>,
+}
+
+impl Worker {
+    pub(crate) fn new(control: Addr<Control>, targets: Rc<dyn Target>) -> Self {
+        Self { control, targets }
+    }
+
+    /// Runs a request to its response. The work goes on in a task of its own:
+    /// when the caller goes away the task learns it, and still tells the
+    /// control thread how the attempt ended.
+    pub(crate) async fn run(self: &Rc<Self>, job: Job) -> HttpResponse {
+        let (head, response) = oneshot::channel();
+        let (sender, decisions) = mpsc::unbounded_channel();
+        let arrival = job.arrival.clone();
+        self.control.do_send(Arrived { arrival, decisions: sender });
+        let task = Task { worker: Rc::clone(self), job, decisions, head: Some(head) };
+        actix_rt::spawn(task.run());
+        response.await.unwrap_or_else(|_| {
+            let message = "this VM is stopping: send the request again".into();
+            answer::reject(StatusCode::SERVICE_UNAVAILABLE, "stopping", message)
+        })
+    }
+
+    pub(crate) fn tell(&self, event: Event) {
+        self.control.do_send(Input(Kind::Request(event)));
+    }
+}
+
+/// One request under way.
+struct Task {
+    worker: Rc<Worker>,
+    job: Job,
+    decisions: mpsc::UnboundedReceiver<Decision>,
+    head: Option<oneshot::Sender<HttpResponse>>,
+}
+
+/// Where an attempt leaves its request.
+enum Next {
+    /// The caller has, or gets, the answer.
+    Done,
+    /// The control thread decides on.
+    Decide(End),
+    /// The caller is gone.
+    Gone,
+}
+
+impl Task {
+    fn id(&self) -> RequestId {
+        self.job.arrival.request
+    }
+
+    async fn run(mut self) {
+        while let Some(decision) = self.decision().await {
+            match decision {
+                Decision::Send(send) => {
+                    let id = send.id;
+                    match self.attempt(send).await {
+                        Next::Done => return,
+                        Next::Decide(end) => self.worker.tell(Event::Ended { id, end }),
+                        Next::Gone => {
+                            self.worker.tell(Event::Gone(id.request));
+                            return;
+                        }
+                    }
+                }
+                Decision::Replay(outcome) => return self.respond(answer::replay(outcome)),
+                Decision::Refuse(refusal) => {
+                    let id = self.id().to_string();
+                    return self.respond(answer::refuse(&refusal, &id));
+                }
+            }
+        }
+    }
+
+    /// The next decision; `None` when the caller left while waiting for it.
+    async fn decision(&mut self) -> Option<Decision> {
+        let head = self.head.as_mut()?;
+        tokio::select! {
+            decision = self.decisions.recv() => decision,
+            () = head.closed() => {
+                self.worker.tell(Event::Gone(self.job.arrival.request));
+                None
+            }
+        }
+    }
+
+    fn respond(&mut self, response: HttpResponse) {
+        if let Some(head) = self.head.take() {
+            // A caller that is gone needs no answer.
+            let _ = head.send(response);
+        }
+    }
+
+    async fn attempt(&mut self, send: Send) -> Next {
+        let call = Call {
+            id: send.id,
+            method: self.job.method.clone(),
+            path: self.job.path.clone(),
+            content_type: self.job.content_type.clone(),
+            body: self.job.body.clone(),
+            chat: send.chat,
+            overnight: send.overnight,
+        };
+        let targets = Rc::clone(&self.worker.targets);
+        let opened = targets.send(send.address, call);
+        let opened = if send.whole {
+            // A booking is seen through to its outcome, caller or no caller.
+            opened.await
+        } else {
+            let Some(head) = self.head.as_mut() else { return Next::Gone };
+            tokio::select! {
+                opened = opened => opened,
+                () = head.closed() => return Next::Gone,
+            }
+        };
+        match opened {
+            Ok(answer) => self.answered(&send, answer).await,
+            Err(failure) => Next::Decide(End::Failed { failure, relayed: false }),
+        }
+    }
+
+    async fn answered(&mut self, send: &Send, answer: Answer) -> Next {
+        let id = send.id.to_string();
+        if answer.echo.as_deref() != Some(id.as_str()) {
+            let echo = answer.echo.unwrap_or_default();
+            let failure = Failure::Crossed(echo);
+            return Next::Decide(End::Failed { failure, relayed: false });
+        }
+        if REFUSALS.contains(&answer.status) {
+            return Next::Decide(End::Refused);
+        }
+        if relay::is_stream(&answer) {
+            return self.stream(send, answer).await;
+        }
+        let status = answer.status;
+        let content_type = answer.content_type.clone();
+        match relay::whole(answer).await {
+            Ok(body) => {
+                self.whole(send, booking::Outcome { status, content_type, body: body.to_vec() })
+            }
+            Err(failure) => Next::Decide(End::Failed { failure, relayed: false }),
+        }
+    }
+
+    fn whole(&mut self, send: &Send, answer: booking::Outcome) -> Next {
+        let mut response = answer::finished(answer.status, answer.content_type.as_deref());
+        if let Some(token) = &send.token {
+            response.insert_header((answer::TOKEN, token.as_str()));
+        }
+        let tokens = send.chat.map_or(Tokens::default(), |_| relay::tokens(&answer.body));
+        self.respond(response.body(answer.body.clone()));
+        let outcome = send.whole.then_some(answer);
+        self.worker.tell(Event::Ended { id: send.id, end: End::Whole { tokens, outcome } });
+        Next::Done
+    }
+
+    async fn stream(&mut self, send: &Send, answer: Answer) -> Next {
+        let mut response = answer::finished(answer.status, answer.content_type.as_deref());
+        if let Some(token) = &send.token {
+            response.insert_header((answer::TOKEN, token.as_str()));
+        }
+        let (relay, body) = Relay::new(answer);
+        self.respond(response.streaming(body));
+        match relay.run().await {
+            relay::Ended::Whole(tokens) => {
+                let end = End::Whole { tokens, outcome: None };
+                self.worker.tell(Event::Ended { id: send.id, end });
+                Next::Done
+            }
+            relay::Ended::Gone => Next::Gone,
+            relay::Ended::Broken { failure, sink } => {
+                let end = End::Failed { failure, relayed: true };
+                self.worker.tell(Event::Ended { id: send.id, end });
+                if let Some(Decision::Refuse(refusal)) = self.decisions.recv().await {
+                    relay::break_off(sink, &answer::text(&refusal, &self.id().to_string())).await;
+                }
+                Next::Done
+            }
+        }
+    }
+}
--- a/src/bin/briarshift.rs
+++ b/src/bin/briarshift.rs
@@ -1,3 +1,57 @@
 //! The `briarshift` command.
 
-fn main() {}
+use std::io::Write;
+use std::process::ExitCode;
+
+use actix_rt::System;
+use briarshift::commands::{drain, serve, status};
+use gumdrop::Options;
+
+/// Command line.
+#[derive(Debug, Options)]
+struct Arguments {
+    /// print this help
+    help: bool,
+    #[options(command)]
+    command: Option<Command>,
+}
+
+#[derive(Debug, Options)]
+enum Command {
+    /// run an entry VM
+    Serve(serve::Options),
+    /// show what VMs report of themselves
+    Status(status::Options),
+    /// tell a VM to take no new requests
+    Drain(drain::Options),
+}
+
+fn main() -> ExitCode {
+    let arguments = Arguments::parse_args_default_or_exit();
+    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info"))
+        .format(|out, record| {
+            let level = record.level().as_str().to_lowercase();
+            writeln!(out, "time={} level={level} {}", out.timestamp_millis(), record.args())
+        })
+        .init();
+    let Some(command) = arguments.command else {
+        eprintln!("{}", Arguments::usage());
+        eprintln!("\n{}", Arguments::command_list().unwrap_or_default());
+        return ExitCode::from(2);
+    };
+    match run(&command) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(err) => {
+            eprintln!("error: {err:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn run(command: &Command) -> anyhow::Result<()> {
+    match command {
+        Command::Serve(options) => serve::run(options),
+        Command::Status(options) => System::new().block_on(status::run(options)),
+        Command::Drain(options) => System::new().block_on(drain::run(options)),
+    }
+}
--- /dev/null
+++ b/src/commands/mod.rs
@@ -0,0 +1,30 @@
+//! Subcommands, a file each.
+
+pub mod drain;
+pub mod serve;
+pub mod status;
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use anyhow::{Context, bail};
+
+/// How long an operator's call to a VM may take.
+const TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Calls a VM's operator listener and returns the body.
+async fn call(address: SocketAddr, method: &str, path: &str) -> anyhow::Result<String> {
+    let url = format!("http://{address}{path}");
+    let client = awc::Client::builder().timeout(TIMEOUT).finish();
+    let method = method.parse().context("not an HTTP method")?;
+    let mut response = match client.request(method, &url).send().await {
+        Ok(response) => response,
+        Err(err) => bail!("no answer from {url} ({err}): check the VM's operator_address"),
+    };
+    let body = response.body().await.context("the answer broke off: try again")?;
+    let body = String::from_utf8_lossy(&body).into_owned();
+    if !response.status().is_success() {
+        bail!("{url} answered {}: {body}", response.status());
+    }
+    Ok(body)
+}
--- /dev/null
+++ b/src/commands/serve.rs
@@ -0,0 +1,51 @@
+//! `briarshift serve`: runs an entry VM.
+
+use std::path::PathBuf;
+
+use actix_rt::System;
+use actix_rt::signal::unix::{SignalKind, signal};
+use anyhow::Context;
+use briarshift_daemon::Daemon;
+use briarshift_settings::Process;
+use gumdrop::Options as Arguments;
+
+/// Arguments of `serve`.
+#[derive(Debug, Arguments)]
+pub struct Options {
+    /// print this help
+    pub help: bool,
+    /// file with the process settings (JSON)
+    #[options(required, meta = "FILE")]
+    pub settings: PathBuf,
+}
+
+/// Runs until SIGTERM or SIGINT, then drains. A second signal ends at once.
+///
+/// # Errors
+///
+/// If the settings can't be used or an address can't be bound.
+pub fn run(options: &Options) -> anyhow::Result<()> {
+    let process = read(options)?;
+    System::new().block_on(async {
+        let mut terminate = signal(SignalKind::terminate()).context("cannot wait for SIGTERM")?;
+        let mut interrupt = signal(SignalKind::interrupt()).context("cannot wait for SIGINT")?;
+        let daemon = Daemon::start(briarshift_daemon::Options { process })?;
+        println!("listening {} {}", daemon.caller_address(), daemon.operator_address());
+        tokio::select! {
+            _ = terminate.recv() => {}
+            _ = interrupt.recv() => {}
+        }
+        log::info!("event=stopping");
+        tokio::select! {
+            result = daemon.close() => result,
+            _ = terminate.recv() => Ok(()),
+            _ = interrupt.recv() => Ok(()),
+        }
+    })
+}
+
+fn read(options: &Options) -> anyhow::Result<Process> {
+    let path = options.settings.display();
+    let text = std::fs::read(&options.settings).with_context(|| format!("cannot read {path}"))?;
+    serde_json::from_slice(&text).with_context(|| format!("{path} is not usable"))
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,1 +1,3 @@
-//! The thin command line over the crates.
+//! The command line of briarshift, thin over the crates.
+
+pub mod commands;
