Check target answers while they are read

Cause: the call path passed on whatever a target sent. Nothing compared the echoed id, and nothing told a whole answer from one that broke off.

`target::stream::Reader` takes an answer's head and then its bytes in pieces of any size. It refuses an echo that is missing or another attempt's, counts event ids so that a broken stream can be resumed (`stream::resume`, `Reader::reopen`, repeated events are dropped), calls a stream whole only with its end marker and any other body only with its stated length or as a complete JSON object, and reads the tokens used. It keeps one event of at most 1 MiB or one body of at most 8 MiB.

Found on the way: awc reports a chunked body whose connection broke as ended. The end of a body proves nothing now.

Borders: `Answer` has `length` and `retry_after` besides, and `Answer::is_refusal` says what counts as refused unrun (429, or 503 with Retry-After; a plain 503 does not). `request::Tokens` is now the type of `target::stream`, at the same path with the same fields.

crates/target was missing from the repository: `.gitignore` said `target/`, which covers every directory of that name. It says `/target/` now.

--- a/crates/control/src/request/event.rs
+++ b/crates/control/src/request/event.rs
@@ -7,7 +7,7 @@
 use briarshift_units::{ChatKey, Digest, RequestId, TargetId};
 use smol_str::SmolStr;
 
-use super::Refusal;
+use super::{Refusal, Tokens};
 use crate::booking;
 
 /// Something about a caller's request.
@@ -62,17 +62,6 @@
     },
 }
 
-/// Tokens that a chat used.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub struct Tokens {
-    /// Tokens of the prompt.
-    pub prompt: u64,
-    /// Of these, tokens found in the engine's cache.
-    pub cached: u64,
-    /// Tokens generated.
-    pub completion: u64,
-}
-
 /// How an attempt ended.
 #[derive(Debug, Clone, PartialEq)]
 pub enum End {
--- a/crates/control/src/request/mod.rs
+++ b/crates/control/src/request/mod.rs
@@ -10,6 +10,7 @@
 mod refusal;
 mod state;
 
-pub use event::{Arrival, Decision, End, Event, Send, Tokens, Work};
+pub use briarshift_target::stream::Tokens;
+pub use event::{Arrival, Decision, End, Event, Send, Work};
 pub use refusal::{Outcome, Reason, Refusal};
 pub use state::{State, View};
--- /dev/null
+++ b/crates/target/tests/all/main.rs
@@ -0,0 +1,4 @@
+//! Tests of the clients of targets.
+
+mod http;
+mod stream;
