Relay only whole events of a stream

Cause: the daemon's own end marker check passed half events on, so an error event after a break could land inside one.

Change: the relay and the whole-answer path use target::stream::Reader; the reader can be cloned, so that a broken stream keeps its relay for a resume.

--- a/crates/daemon/src/worker.rs
+++ b/crates/daemon/src/worker.rs
@@ -9,14 +9,16 @@
 use briarshift_control::Kind;
 use briarshift_control::booking;
 use briarshift_control::request::{Arrival, Decision, End, Event, Send, Tokens};
-use briarshift_target::{Answer, Call, Failure, Method, Target};
+use briarshift_target::stream::{Reader, Whole};
+use briarshift_target::{Answer, Body, Call, Failure, Method, Target};
 use briarshift_units::RequestId;
+use futures::StreamExt;
 use smol_str::SmolStr;
 use tokio::sync::{mpsc, oneshot};
 
 use crate::answer;
 use crate::control::{Arrived, Control, Input};
-use crate::relay::{self, Relay};
+use crate::relay::{Ended, Relay};
 
 /// Statuses with which a target refuses a request that it has not run.
 const REFUSALS: [u16; 2] = [429, 503];
@@ -156,62 +158,67 @@
     }
 
     async fn answered(&mut self, send: &Send, answer: Answer) -> Next {
-        let id = send.id.to_string();
-        if answer.echo.as_deref() != Some(id.as_str()) {
-            let echo = answer.echo.unwrap_or_default();
-            let failure = Failure::Crossed(echo);
-            return Next::Decide(End::Failed { failure, relayed: false });
-        }
+        let reader = match Reader::new(send.id, &answer) {
+            Ok(reader) => reader,
+            Err(failure) => return Next::Decide(End::Failed { failure, relayed: false }),
+        };
         if REFUSALS.contains(&answer.status) {
             return Next::Decide(End::Refused);
         }
-        if relay::is_stream(&answer) {
-            return self.stream(send, answer).await;
+        if reader.is_stream() {
+            return self.stream(send, reader, answer).await;
         }
-        let status = answer.status;
-        let content_type = answer.content_type.clone();
-        match relay::whole(answer).await {
-            Ok(body) => {
-                self.whole(send, booking::Outcome { status, content_type, body: body.to_vec() })
+        match read(reader, answer.body).await {
+            Ok(whole) => {
+                let (status, content_type) = (answer.status, answer.content_type);
+                let body = whole.body.unwrap_or_default().to_vec();
+                self.whole(send, booking::Outcome { status, content_type, body }, whole.tokens)
             }
             Err(failure) => Next::Decide(End::Failed { failure, relayed: false }),
         }
     }
 
-    fn whole(&mut self, send: &Send, answer: booking::Outcome) -> Next {
+    fn whole(&mut self, send: &Send, answer: booking::Outcome, tokens: Tokens) -> Next {
         let mut response = answer::finished(answer.status, answer.content_type.as_deref());
         if let Some(token) = &send.token {
             response.insert_header((answer::TOKEN, token.as_str()));
         }
-        let tokens = send.chat.map_or(Tokens::default(), |_| relay::tokens(&answer.body));
         self.respond(response.body(answer.body.clone()));
         let outcome = send.whole.then_some(answer);
         self.worker.tell(Event::Ended { id: send.id, end: End::Whole { tokens, outcome } });
         Next::Done
     }
 
-    async fn stream(&mut self, send: &Send, answer: Answer) -> Next {
+    async fn stream(&mut self, send: &Send, reader: Reader, answer: Answer) -> Next {
         let mut response = answer::finished(answer.status, answer.content_type.as_deref());
         if let Some(token) = &send.token {
             response.insert_header((answer::TOKEN, token.as_str()));
         }
-        let (relay, body) = Relay::new(answer);
+        let (relay, body) = Relay::new(reader);
         self.respond(response.streaming(body));
-        match relay.run().await {
-            relay::Ended::Whole(tokens) => {
+        match relay.run(answer.body).await {
+            Ended::Whole(tokens) => {
                 let end = End::Whole { tokens, outcome: None };
                 self.worker.tell(Event::Ended { id: send.id, end });
                 Next::Done
             }
-            relay::Ended::Gone => Next::Gone,
-            relay::Ended::Broken { failure, sink } => {
+            Ended::Gone => Next::Gone,
+            Ended::Broken { failure, relay } => {
                 let end = End::Failed { failure, relayed: true };
                 self.worker.tell(Event::Ended { id: send.id, end });
                 if let Some(Decision::Refuse(refusal)) = self.decisions.recv().await {
-                    relay::break_off(sink, &answer::text(&refusal, &self.id().to_string())).await;
+                    relay.break_off(&answer::text(&refusal, &self.id().to_string())).await;
                 }
                 Next::Done
             }
         }
     }
 }
+
+/// Reads an answer that is no stream to its end.
+async fn read(mut reader: Reader, mut body: Body) -> Result<Whole, Failure> {
+    while let Some(chunk) = body.next().await {
+        reader.push(&chunk?)?;
+    }
+    reader.finish()
+}
--- a/crates/target/src/stream.rs
+++ b/crates/target/src/stream.rs
@@ -87,14 +87,14 @@
 /// assert!(reader.push(b"NE]\n\n").unwrap()[0].last);
 /// assert_eq!(reader.finish().unwrap().body, None);
 /// ```
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub struct Reader {
     id: Attempt,
     tokens: Tokens,
     mode: Mode,
 }
 
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 enum Mode {
     Stream(Stream),
     Whole { body: BytesMut, length: Option<u64>, json: bool },
@@ -219,7 +219,7 @@
 }
 
 /// Events of a stream, read byte by byte so that a line may be cut anywhere.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 struct Stream {
     /// The line being read.
     line: Vec<u8>,
