Report members and targets in /status

Cause: an operator could not see what a VM believes of its peers and targets.

Change: control::status builds the report; gauges take their numbers from the same place, once a second instead of at every tick.

--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod place;
 pub mod poison;
 pub mod request;
+pub mod status;
 pub mod target;
 pub mod usage;
 
@@ -32,4 +33,4 @@
 pub use event::{Event, Kind};
 pub use record::Record;
 pub use signal::Signal;
-pub use state::{State, Status};
+pub use state::State;
--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -2,9 +2,9 @@
 
 use std::sync::Arc;
 
-use briarshift_units::Revision;
 use briarshift_wire::Message;
 
+use crate::status::{self, Counts, Status};
 use crate::{
     Context, Effect, Event, Identity, Kind, Output, Signal, Ticket, booking, document, member,
     order, place, poison, request, target, usage,
@@ -26,21 +26,6 @@
     drained: bool,
 }
 
-/// A summary for operators.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Status {
-    /// Revision of the document in force, 0 before the first.
-    pub revision: Revision,
-    /// Requests in flight.
-    pub in_flight: usize,
-    /// Whether the VM is shutting down.
-    pub draining: bool,
-    /// Live peers.
-    pub members: usize,
-    /// Targets that take new work.
-    pub targets: usize,
-}
-
 impl State {
     /// A VM that knows nothing yet.
     pub fn new(me: Identity) -> Self {
@@ -59,14 +44,26 @@
         }
     }
 
-    /// A summary for operators.
-    pub fn status(&self) -> Status {
-        Status {
+    /// Numbers for gauges.
+    pub fn counts(&self) -> Counts {
+        Counts {
             revision: self.document.revision(),
             in_flight: self.requests.len(),
             draining: self.requests.is_draining(),
-            members: self.members.live().count(),
-            targets: self.targets.all().filter(|target| target.takes_work()).count(),
+            live_members: self.members.live().count(),
+            live_targets: self.targets.all().filter(|target| target.takes_work()).count(),
+        }
+    }
+
+    /// The whole report for operators.
+    pub fn status(&self) -> Status {
+        Status {
+            vm: self.me.vm.clone(),
+            start: self.me.start,
+            data_centre: self.me.data_centre.clone(),
+            counts: self.counts(),
+            members: status::members(&self.members),
+            targets: status::targets(&self.targets),
         }
     }
 
--- a/crates/daemon/src/control.rs
+++ b/crates/daemon/src/control.rs
@@ -6,7 +6,8 @@
 
 use actix::{Actor, AsyncContext, Context, Handler, Message, ResponseFuture};
 use briarshift_control::request::{self, Decision};
-use briarshift_control::{Effect, Event, Identity, Kind, State, Status};
+use briarshift_control::status::{Counts, Status};
+use briarshift_control::{Effect, Event, Identity, Kind, State};
 use briarshift_settings::Document;
 use briarshift_units::RequestId;
 use tokio::sync::{mpsc, watch};
@@ -18,6 +19,9 @@
 /// Time between two ticks of the reducer.
 const TICK: Duration = Duration::from_millis(10);
 
+/// Time between two updates of the gauges.
+const GAUGES: Duration = Duration::from_secs(1);
+
 /// Something happened.
 #[derive(Message)]
 #[rtype(result = "()")]
@@ -36,6 +40,11 @@
 #[rtype(result = "Status")]
 pub(crate) struct AskStatus;
 
+/// Asks for the numbers of the gauges.
+#[derive(Message)]
+#[rtype(result = "Counts")]
+pub(crate) struct AskCounts;
+
 /// Asks for the document in force.
 #[derive(Message)]
 #[rtype(result = "Option<Document>")]
@@ -114,8 +123,8 @@
         ctx.set_mailbox_capacity(usize::MAX >> 8);
         ctx.run_interval(TICK, |actor, ctx| {
             actor.apply(Kind::Tick, ctx);
-            actor.metrics.status(&actor.state.status());
         });
+        ctx.run_interval(GAUGES, |actor, _| actor.metrics.counts(&actor.state.counts()));
     }
 }
 
@@ -154,6 +163,14 @@
     }
 }
 
+impl Handler<AskCounts> for Control {
+    type Result = actix::MessageResult<AskCounts>;
+
+    fn handle(&mut self, _: AskCounts, _: &mut Self::Context) -> Self::Result {
+        actix::MessageResult(self.state.counts())
+    }
+}
+
 impl Handler<AskDocument> for Control {
     type Result = Option<Document>;
 
--- a/crates/daemon/src/metric.rs
+++ b/crates/daemon/src/metric.rs
@@ -1,7 +1,8 @@
 //! Metrics by OpenTelemetry, scraped in the Prometheus text format.
 
 use anyhow::Context;
-use briarshift_control::{Record, Status};
+use briarshift_control::Record;
+use briarshift_control::status::Counts;
 use briarshift_units::{Revision, VmId};
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Gauge, MeterProvider};
@@ -79,11 +80,11 @@
         self.revision.record(revision.0, &[]);
     }
 
-    /// Shows a summary of the state.
-    pub(crate) fn status(&self, status: &Status) {
-        self.in_flight.record(status.in_flight as u64, &[]);
-        self.members.record(status.members as u64, &[]);
-        self.targets.record(status.targets as u64, &[]);
+    /// Shows the gauges.
+    pub(crate) fn counts(&self, counts: &Counts) {
+        self.in_flight.record(counts.in_flight as u64, &[]);
+        self.members.record(counts.live_members as u64, &[]);
+        self.targets.record(counts.live_targets as u64, &[]);
     }
 
     /// All metrics in the Prometheus text format.
--- a/crates/daemon/src/operator.rs
+++ b/crates/daemon/src/operator.rs
@@ -3,20 +3,10 @@
 use actix::Addr;
 use actix_web::web::{self, ServiceConfig};
 use actix_web::{HttpResponse, Responder};
-use serde::Serialize;
 
-use crate::control::{AskStatus, Control, Drain};
+use crate::control::{AskCounts, AskStatus, Control, Drain};
 use crate::metric::Metrics;
 
-#[derive(Debug, Serialize)]
-struct Status {
-    revision: u64,
-    in_flight: usize,
-    draining: bool,
-    members: usize,
-    targets: usize,
-}
-
 /// Routes of the operators' listener.
 pub(crate) fn configure(cfg: &mut ServiceConfig) {
     cfg.route("/healthz", web::get().to(healthz))
@@ -31,9 +21,9 @@
 }
 
 async fn readyz(control: web::Data<Addr<Control>>) -> HttpResponse {
-    match control.send(AskStatus).await {
-        Ok(status) if !status.draining && 0 < status.revision.0 => HttpResponse::Ok().body("ready"),
-        Ok(status) if status.draining => HttpResponse::ServiceUnavailable().body("draining"),
+    match control.send(AskCounts).await {
+        Ok(counts) if !counts.draining && 0 < counts.revision.0 => HttpResponse::Ok().body("ready"),
+        Ok(counts) if counts.draining => HttpResponse::ServiceUnavailable().body("draining"),
         _ => HttpResponse::ServiceUnavailable().body("no configuration yet"),
     }
 }
@@ -46,16 +36,10 @@
 }
 
 async fn status(control: web::Data<Addr<Control>>) -> HttpResponse {
-    let Ok(status) = control.send(AskStatus).await else {
-        return HttpResponse::ServiceUnavailable().body("the VM is stopping");
-    };
-    HttpResponse::Ok().json(Status {
-        revision: status.revision.0,
-        in_flight: status.in_flight,
-        draining: status.draining,
-        members: status.members,
-        targets: status.targets,
-    })
+    match control.send(AskStatus).await {
+        Ok(status) => HttpResponse::Ok().json(status),
+        Err(_) => HttpResponse::ServiceUnavailable().body("the VM is stopping"),
+    }
 }
 
 async fn drain(control: web::Data<Addr<Control>>) -> HttpResponse {
