Carry peer messages over QUIC with mutual TLS and a byte budget

Cause: entry VMs had a border for a transport and none behind it.

Weighed: a queue and a sender task for each peer against one task for all; one task would let a peer that is out of reach hold up the others. A shared bucket for all frames against an account apart for documents: a document of a megabyte would stop place messages for over a minute at 14 KB/s, so its bytes become a debt paid back by half of the rate. Keep-alives against taking silence after a send for a broken connection: keep-alives cost bytes for each pair of VMs. Hex-encoded ids in certificates against ids that are DNS labels: labels stay readable; DNS ignores case, so upper case is refused.

Change: Link implements Transport: datagrams for frames that fit, a stream each for longer ones, connections opened on demand and kept, bounded queues that drop the oldest, counters for metrics. Frames of an unknown version, oversized, truncated or malformed close the connection with a typed code. `briarshift keys` makes a development authority. New direct dependency rustls-webpki (already in the tree under rustls): it reads the name in a peer's certificate. Border change: one Command variant in the binary.

Failed first: peer_of_another_protocol_version_is_refused waited in vain for the counter (refused: [0, 0, 0, 0, 0, 0]), because a connection refused before its handshake began was not counted.

Shown by: cargo test -p briarshift-peer -p briarshift-wire (24 + 4 tests, 9 doc tests).

--- /dev/null
+++ b/crates/peer/src/error.rs
@@ -0,0 +1,126 @@
+//! Errors of the transport, and the codes with which connections are closed.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::{fmt, io};
+
+use briarshift_wire::MAX_FRAME;
+use quinn::VarInt;
+
+/// Why a transport could not be set up.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// A VM or fleet id can't stand in a certificate.
+    #[error(
+        "{0:?} can't name a VM or a fleet in a certificate: use 1 to 63 lower-case letters, \
+         digits and '-', no '-' at either end"
+    )]
+    Name(String),
+    /// A file could not be read or written.
+    #[error("{path}: {source}: check the tls section of the settings", path = path.display())]
+    File {
+        /// The file.
+        path: PathBuf,
+        /// The system's reason.
+        source: io::Error,
+    },
+    /// The certificates do not make a usable identity.
+    #[error("the certificates can't be used ({0}): make them anew with `briarshift keys`")]
+    Certificate(String),
+    /// The own certificate names another VM or fleet.
+    #[error(
+        "the certificate names {found}, the settings {wanted}: give each VM the certificate \
+         made for it"
+    )]
+    Identity {
+        /// The name from the settings.
+        wanted: String,
+        /// The names in the certificate.
+        found: String,
+    },
+    /// The peer listener could not be opened.
+    #[error("{address}: {source}: give peer_address a free UDP port of this VM")]
+    Bind {
+        /// The address from the settings.
+        address: SocketAddr,
+        /// The system's reason.
+        source: io::Error,
+    },
+}
+
+/// Why this end closed a connection. The code travels to the peer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Refusal {
+    /// A frame of another version of the encoding.
+    Version,
+    /// A frame longer than the limit.
+    Oversized,
+    /// A frame that ends early.
+    Truncated,
+    /// A frame that holds no message.
+    Malformed,
+    /// The peer's certificate names no VM of this fleet.
+    Fleet,
+    /// The handshake failed: no certificate, another authority, or another
+    /// protocol version. TLS gives the peer a code of its own.
+    Handshake,
+}
+
+impl Refusal {
+    /// All reasons, in the order of the counters.
+    pub const ALL: [Self; 6] = [
+        Self::Version,
+        Self::Oversized,
+        Self::Truncated,
+        Self::Malformed,
+        Self::Fleet,
+        Self::Handshake,
+    ];
+
+    /// The application error code on the wire.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use briarshift_peer::Refusal;
+    /// assert_eq!(Refusal::of_code(Refusal::Fleet.code()), Some(Refusal::Fleet));
+    /// ```
+    pub fn code(self) -> u32 {
+        self as u32 + 1
+    }
+
+    /// The reason that a code stands for; `None` for an orderly close.
+    pub fn of_code(code: u32) -> Option<Self> {
+        Self::ALL.into_iter().find(|reason| reason.code() == code)
+    }
+
+    pub(crate) fn index(self) -> usize {
+        self as usize
+    }
+
+    pub(crate) fn close(self, connection: &quinn::Connection) {
+        connection.close(VarInt::from_u32(self.code()), self.to_string().as_bytes());
+    }
+
+    pub(crate) fn of_frame(err: &briarshift_wire::Error) -> Self {
+        match err {
+            briarshift_wire::Error::Version(_) => Self::Version,
+            briarshift_wire::Error::Oversized(_) => Self::Oversized,
+            briarshift_wire::Error::Empty | briarshift_wire::Error::Truncated => Self::Truncated,
+            briarshift_wire::Error::Malformed(_) => Self::Malformed,
+        }
+    }
+}
+
+impl fmt::Display for Refusal {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Version => f.write_str("unknown version: run one release on all VMs"),
+            Self::Oversized => write!(f, "oversized frame: send at most {MAX_FRAME} bytes"),
+            Self::Truncated => f.write_str("truncated frame: run one release on all VMs"),
+            Self::Malformed => f.write_str("malformed frame: run one release on all VMs"),
+            Self::Fleet => f.write_str("not of this fleet: use this fleet's certificates"),
+            Self::Handshake => f.write_str("handshake failed: use this fleet's certificates"),
+        }
+    }
+}
--- /dev/null
+++ b/crates/peer/src/keys.rs
@@ -0,0 +1,100 @@
+//! A development certificate authority.
+//!
+//! Production fleets bring certificates of their own. For trials and tests this
+//! makes an authority and one certificate a VM, each valid for both ends of a
+//! connection and for one [`name`](crate::name) only.
+
+use briarshift_units::{FleetId, VmId};
+use rcgen::{
+    BasicConstraints, CertificateParams, DnType, ExtendedKeyUsagePurpose, IsCa, Issuer, KeyPair,
+    KeyUsagePurpose,
+};
+
+use crate::{Error, name};
+
+/// A certificate and its private key, in PEM.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Pair {
+    /// The certificate.
+    pub certificate: String,
+    /// The private key.
+    pub key: String,
+}
+
+/// An authority that signs the certificates of one fleet.
+pub struct Authority {
+    fleet: FleetId,
+    certificate: String,
+    issuer: Issuer<'static, KeyPair>,
+}
+
+impl Authority {
+    /// Makes a new authority.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Name`] for a fleet id that is not a DNS label,
+    /// [`Error::Certificate`] if the key can't be made.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use briarshift_peer::keys::Authority;
+    /// let authority = Authority::generate("linen".parse().unwrap()).unwrap();
+    /// let pair = authority.issue(&"aarau-1".parse().unwrap()).unwrap();
+    /// assert!(pair.certificate.starts_with("-----BEGIN CERTIFICATE-----"));
+    /// ```
+    pub fn generate(fleet: FleetId) -> Result<Self, Error> {
+        let key = KeyPair::generate().map_err(unusable)?;
+        Self::with_key(fleet, key)
+    }
+
+    /// Takes up an authority made before, to issue more certificates.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Certificate`] if the pair is not PEM of a supported kind.
+    pub fn load(fleet: FleetId, pair: &Pair) -> Result<Self, Error> {
+        let key = KeyPair::from_pem(&pair.key).map_err(unusable)?;
+        Ok(Self { certificate: pair.certificate.clone(), ..Self::with_key(fleet, key)? })
+    }
+
+    fn with_key(fleet: FleetId, key: KeyPair) -> Result<Self, Error> {
+        let probe = "a".parse().expect("a letter is an id");
+        name::of(&probe, &fleet)?;
+        let mut params = CertificateParams::default();
+        params.is_ca = IsCa::Ca(BasicConstraints::Constrained(0));
+        params.key_usages = vec![KeyUsagePurpose::KeyCertSign, KeyUsagePurpose::CrlSign];
+        params.distinguished_name.push(DnType::CommonName, format!("{fleet} development CA"));
+        let certificate = params.self_signed(&key).map_err(unusable)?.pem();
+        Ok(Self { fleet, certificate, issuer: Issuer::new(params, key) })
+    }
+
+    /// The authority's own certificate and key.
+    pub fn pair(&self) -> Pair {
+        Pair { certificate: self.certificate.clone(), key: self.issuer.key().serialize_pem() }
+    }
+
+    /// Issues a VM's certificate.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Name`] for a VM id that is not a DNS label,
+    /// [`Error::Certificate`] if the key can't be made.
+    pub fn issue(&self, vm: &VmId) -> Result<Pair, Error> {
+        let full = name::of(vm, &self.fleet)?;
+        let key = KeyPair::generate().map_err(unusable)?;
+        let mut params = CertificateParams::new(vec![full]).map_err(unusable)?;
+        params.distinguished_name.push(DnType::CommonName, vm.to_string());
+        params.key_usages = vec![KeyUsagePurpose::DigitalSignature];
+        params.extended_key_usages =
+            vec![ExtendedKeyUsagePurpose::ServerAuth, ExtendedKeyUsagePurpose::ClientAuth];
+        let certificate = params.signed_by(&key, &self.issuer).map_err(unusable)?;
+        Ok(Pair { certificate: certificate.pem(), key: key.serialize_pem() })
+    }
+}
+
+#[expect(clippy::needless_pass_by_value, reason = "given to map_err")]
+fn unusable(err: rcgen::Error) -> Error {
+    Error::Certificate(err.to_string())
+}
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -3,6 +3,38 @@
 //! The [`Transport`] trait is the border: the daemon hands it messages and
 //! receives messages, and whether QUIC or a fake stands behind it makes no
 //! difference to the control reducer.
+//!
+//! [`Link`] is the transport over QUIC. Each end shows a certificate that names
+//! its VM and its fleet ([`name`]), so that a sender is authenticated and
+//! another fleet is refused. Small frames travel as datagrams, larger ones each
+//! on a stream of its own: no frame waits for a lost one before it. Delivery is
+//! not promised; the control reducer repeats what must arrive. The sender alone
+//! enforces the budget of control bytes ([`Budget`]), because a receiver can
+//! only refuse what has been paid for already.
+
+mod budget;
+mod class;
+mod config;
+mod counters;
+mod error;
+mod inbound;
+mod link;
+mod outbound;
+mod queue;
+mod table;
+mod tls;
+
+pub mod keys;
+pub mod name;
+
+pub use budget::{Budget, Verdict};
+pub use class::{Class, Kind};
+pub use config::{Builder, Config};
+pub use counters::{Counters, Drop, Flow, Snapshot};
+pub use error::{Error, Refusal};
+pub use link::{Gauge, Link};
+pub use queue::{Queue, Queued};
+pub use tls::Tls;
 
 use std::net::SocketAddr;
 
--- /dev/null
+++ b/crates/peer/src/link.rs
@@ -0,0 +1,122 @@
+//! The transport over QUIC.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use briarshift_units::{FleetId, VmId};
+use briarshift_wire::{Frame, Message};
+use quinn::{Connection, Endpoint};
+use tokio::runtime::Handle;
+use tokio::sync::mpsc;
+
+use crate::table::Table;
+use crate::tls::Endpoints;
+use crate::{Config, Drop, Error, Kind, Queued, Received, Snapshot, Transport, inbound, outbound};
+
+/// What the transport's tasks share.
+pub(crate) struct Shared {
+    pub endpoint: Endpoint,
+    pub fleet: FleetId,
+    pub table: Table,
+    pub inbox: mpsc::Sender<Received>,
+}
+
+impl Shared {
+    /// Takes up an authenticated connection and reads it.
+    pub(crate) fn serve(self: &Arc<Self>, peer: VmId, connection: Connection) {
+        self.table.adopt(&peer, &connection);
+        tokio::spawn(inbound::read(Arc::clone(self), peer, connection));
+    }
+}
+
+/// The transport over QUIC. All its tasks run on the runtime that it was bound
+/// on; one thread is enough.
+pub struct Link {
+    shared: Arc<Shared>,
+    handle: Handle,
+}
+
+/// Reads a [`Link`]'s counters from any thread.
+#[derive(Clone)]
+pub struct Gauge(Arc<Shared>);
+
+impl Gauge {
+    /// All counters.
+    pub fn snapshot(&self) -> Snapshot {
+        self.0.table.snapshot()
+    }
+}
+
+impl Link {
+    /// Opens the peer listener. Messages that arrive come out of the receiver.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Certificate`], [`Error::Identity`] or [`Error::Name`] for
+    /// certificates that don't fit, [`Error::Bind`] if the address is taken.
+    ///
+    /// # Panics
+    ///
+    /// Outside a tokio runtime.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// # use briarshift_peer::{Config, Link, Tls, Transport, keys::Authority};
+    /// # let (fleet, vm) = ("linen".parse().unwrap(), "aarau-1".parse().unwrap());
+    /// # let authority = Authority::generate("linen".parse().unwrap()).unwrap();
+    /// # let pair = authority.issue(&vm).unwrap();
+    /// # let (certificate, key) = (pair.certificate.into(), pair.key.into());
+    /// # let tls = Tls { ca: authority.pair().certificate.into(), certificate, key };
+    /// # let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    /// # runtime.block_on(async {
+    /// let config = Config::builder(fleet, vm, "127.0.0.1:0".parse().unwrap(), tls).build();
+    /// let (link, _received) = Link::bind(config).unwrap();
+    /// assert_ne!(link.address().port(), 0);
+    /// Box::new(link).close();
+    /// # });
+    /// ```
+    pub fn bind(config: Config) -> Result<(Self, mpsc::Receiver<Received>), Error> {
+        let Endpoints { client, server } = Endpoints::new(&config.tls, &config.vm, &config.fleet)?;
+        let mut endpoint = Endpoint::server(server, config.address)
+            .map_err(|source| Error::Bind { address: config.address, source })?;
+        endpoint.set_default_client_config(client);
+        let (inbox, received) = mpsc::channel(config.backlog.max(1));
+        let table = Table::new(config.budget, config.queue);
+        let shared = Arc::new(Shared { endpoint, fleet: config.fleet, table, inbox });
+        let handle = Handle::current();
+        handle.spawn(inbound::accept(Arc::clone(&shared)));
+        Ok((Self { shared, handle }, received))
+    }
+
+    /// Where the peer listener is.
+    pub fn address(&self) -> SocketAddr {
+        let unspecified = SocketAddr::from(([0, 0, 0, 0], 0));
+        self.shared.endpoint.local_addr().unwrap_or(unspecified)
+    }
+
+    /// A reader of the counters, for metrics.
+    pub fn gauge(&self) -> Gauge {
+        Gauge(Arc::clone(&self.shared))
+    }
+}
+
+impl Transport for Link {
+    fn send(&self, to: &VmId, address: SocketAddr, message: Message) {
+        let kind = Kind::of(&message);
+        let Ok(frame) = Frame::encode(&message) else {
+            self.shared.table.counters.dropped(Drop::Oversized, 1);
+            log::error!("event=peer_frame_dropped peer={to} kind={kind} reason=oversized");
+            return;
+        };
+        let at = self.shared.table.now();
+        let Some(wake) = self.shared.table.push(to, address, Queued { kind, frame, at }) else {
+            return;
+        };
+        self.handle.spawn(outbound::run(Arc::clone(&self.shared), to.clone(), wake));
+    }
+
+    fn close(self: Box<Self>) {
+        self.shared.endpoint.close(0u32.into(), b"closed");
+    }
+}
--- /dev/null
+++ b/crates/peer/tests/all/budget.rs
@@ -0,0 +1,64 @@
+//! The byte budget over time.
+
+use briarshift_peer::{Budget, Class, Verdict};
+use briarshift_units::{BytesPerSecond, Moment, Span};
+use proptest::prelude::*;
+
+const RATE: u64 = 1_000;
+
+fn class() -> impl Strategy<Value = Class> {
+    prop_oneof![Just(Class::Place), Just(Class::Document), Just(Class::Gossip)]
+}
+
+proptest! {
+    #[test]
+    fn mean_rate_stays_within_the_budget(
+        asks in prop::collection::vec((0u64..200_000, class(), 1usize..3_000), 1..200),
+    ) {
+        let mut budget = Budget::new(BytesPerSecond(RATE), Moment(0));
+        let (mut now, mut sent, mut documents) = (Moment(0), 0u64, 0u64);
+        for (pause, class, bytes) in asks {
+            now = now + Span(pause);
+            if budget.take(now, class, bytes) == Verdict::Go {
+                sent += bytes as u64;
+                documents += if class == Class::Document { bytes as u64 } else { 0 };
+            }
+        }
+        let earned = RATE * now.0 / 1_000_000 + 1;
+        // Beyond what time earned: the bucket, its overdraft by one frame, and
+        // the debt of documents by one frame.
+        prop_assert!(sent <= earned + 2 * RATE + 3_000 + documents.min(60 * RATE + 3_000));
+    }
+
+    #[test]
+    fn wait_leads_to_go(drain in prop::collection::vec((class(), 1usize..3_000), 0..50), class in class()) {
+        let mut budget = Budget::new(BytesPerSecond(RATE), Moment(0));
+        for (class, bytes) in drain {
+            budget.take(Moment(0), class, bytes);
+        }
+        let mut now = Moment(0);
+        for _ in 0..200 {
+            match budget.take(now, class, 100) {
+                Verdict::Go => return Ok(()),
+                Verdict::Wait(span) => now = now + span,
+            }
+        }
+        prop_assert!(false, "still waiting at {now}");
+    }
+}
+
+#[test]
+fn gossip_leaves_room_for_places() {
+    let mut budget = Budget::new(BytesPerSecond(RATE), Moment(0));
+    while budget.take(Moment(0), Class::Gossip, 100) == Verdict::Go {}
+    assert_eq!(budget.take(Moment(0), Class::Place, 500), Verdict::Go);
+}
+
+#[test]
+fn document_holds_up_neither_places_nor_gossip() {
+    let mut budget = Budget::new(BytesPerSecond(RATE), Moment(0));
+    assert_eq!(budget.take(Moment(0), Class::Document, 1_000_000), Verdict::Go);
+    assert_eq!(budget.take(Moment(0), Class::Gossip, 100), Verdict::Go);
+    assert_eq!(budget.take(Moment(0), Class::Place, 100), Verdict::Go);
+    assert!(matches!(budget.take(Moment(0), Class::Document, 1), Verdict::Wait(_)));
+}
--- /dev/null
+++ b/crates/peer/tests/all/fixture.rs
@@ -0,0 +1,72 @@
+//! Certificates, endpoints and messages that the tests share.
+
+use std::future::Future;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use briarshift_peer::keys::Authority;
+use briarshift_peer::{Builder, Config, Link, Received, Snapshot, Tls};
+use briarshift_units::{Digest, Revision, VmId};
+use briarshift_wire::{Message, document, gossip};
+use tokio::sync::mpsc;
+
+/// Longest wait for something that must happen; only a failing test waits.
+const PATIENCE: Duration = Duration::from_secs(20);
+
+pub fn vm(name: &str) -> VmId {
+    name.parse().unwrap()
+}
+
+pub fn authority(fleet: &str) -> Authority {
+    Authority::generate(fleet.parse().unwrap()).unwrap()
+}
+
+pub fn tls(authority: &Authority, name: &str) -> Tls {
+    let pair = authority.issue(&vm(name)).unwrap();
+    Tls {
+        ca: authority.pair().certificate.into(),
+        certificate: pair.certificate.into(),
+        key: pair.key.into(),
+    }
+}
+
+pub fn config(authority: &Authority, fleet: &str, name: &str, address: SocketAddr) -> Builder {
+    Config::builder(fleet.parse().unwrap(), vm(name), address, tls(authority, name))
+}
+
+pub fn anywhere() -> SocketAddr {
+    "127.0.0.1:0".parse().unwrap()
+}
+
+pub fn link(authority: &Authority, name: &str) -> (Link, mpsc::Receiver<Received>) {
+    Link::bind(config(authority, "linen", name, anywhere()).build()).unwrap()
+}
+
+pub fn small() -> Message {
+    Message::Gossip(gossip::Message::default())
+}
+
+pub fn large(bytes: usize) -> Message {
+    let head = document::Head { revision: Revision(1), digest: Digest([7; 32]) };
+    Message::Document(document::Message::Have { head, bytes: vec![7; bytes] })
+}
+
+pub async fn next(received: &mut mpsc::Receiver<Received>) -> Received {
+    tokio::time::timeout(PATIENCE, received.recv()).await.unwrap().unwrap()
+}
+
+pub async fn until(link: &Link, done: impl Fn(&Snapshot) -> bool) -> Snapshot {
+    let gauge = link.gauge();
+    let wait = async {
+        while !done(&gauge.snapshot()) {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+        gauge.snapshot()
+    };
+    tokio::time::timeout(PATIENCE, wait).await.unwrap_or_else(|_| panic!("{:?}", gauge.snapshot()))
+}
+
+pub fn run(test: impl Future<Output = ()>) {
+    let mut builder = tokio::runtime::Builder::new_current_thread();
+    builder.enable_all().build().unwrap().block_on(test);
+}
--- /dev/null
+++ b/crates/peer/tests/all/link.rs
@@ -0,0 +1,116 @@
+//! Messages over live endpoints on loopback.
+
+use briarshift_peer::{Drop, Error, Kind, Link, Transport};
+use briarshift_wire::Message;
+
+use crate::fixture::{anywhere, authority, config, large, link, next, run, small, until, vm};
+
+fn check_carries(message: Message) {
+    run(async move {
+        let authority = authority("linen");
+        let (a, _) = link(&authority, "aarau-1");
+        let (b, mut received) = link(&authority, "olten-1");
+        a.send(&vm("olten-1"), b.address(), message.clone());
+        let got = next(&mut received).await;
+        assert_eq!((got.from, &got.message), (vm("aarau-1"), &message));
+        let sent = a.gauge().snapshot().sent(Kind::of(&message));
+        assert_eq!((sent.frames, sent.bytes), (1, got.bytes as u64));
+        assert_eq!(b.gauge().snapshot().received(Kind::of(&message)), sent);
+    });
+}
+
+#[test]
+fn small_message_arrives_with_its_authenticated_sender() {
+    check_carries(small());
+}
+
+#[test]
+fn document_of_a_megabyte_arrives_whole() {
+    check_carries(large(1_048_576));
+}
+
+#[test]
+fn connection_is_kept_and_serves_both_ways() {
+    run(async {
+        let authority = authority("linen");
+        let (a, mut at_a) = link(&authority, "aarau-1");
+        let (b, mut at_b) = link(&authority, "olten-1");
+        for _ in 0..3 {
+            a.send(&vm("olten-1"), b.address(), small());
+            next(&mut at_b).await;
+            b.send(&vm("aarau-1"), a.address(), small());
+            next(&mut at_a).await;
+        }
+        assert_eq!(a.gauge().snapshot().handshakes, 1);
+        assert_eq!(b.gauge().snapshot().handshakes, 1);
+    });
+}
+
+#[test]
+fn restarted_peer_is_reached_again() {
+    run(async {
+        let authority = authority("linen");
+        let (a, _at_a) = link(&authority, "aarau-1");
+        let (b, mut at_b) = link(&authority, "olten-1");
+        let address = b.address();
+        a.send(&vm("olten-1"), address, small());
+        next(&mut at_b).await;
+        Box::new(b).close();
+        drop(at_b);
+        until(&a, |a| a.connections == 0).await;
+        let (_b, mut at_b) = rebind(&authority, address).await;
+        let sent = async {
+            loop {
+                a.send(&vm("olten-1"), address, small());
+                tokio::time::sleep(std::time::Duration::from_millis(50)).await;
+            }
+        };
+        tokio::select! {
+            got = next(&mut at_b) => assert_eq!(got.from, vm("aarau-1")),
+            () = sent => {}
+        }
+    });
+}
+
+async fn rebind(
+    authority: &briarshift_peer::keys::Authority,
+    address: std::net::SocketAddr,
+) -> (Link, tokio::sync::mpsc::Receiver<briarshift_peer::Received>) {
+    loop {
+        match Link::bind(config(authority, "linen", "olten-1", address).build()) {
+            Ok(bound) => return bound,
+            Err(Error::Bind { .. }) => {
+                tokio::time::sleep(std::time::Duration::from_millis(20)).await;
+            }
+            Err(err) => panic!("{err}"),
+        }
+    }
+}
+
+#[test]
+fn absent_peer_costs_the_oldest_frames_and_is_counted() {
+    run(async {
+        let authority = authority("linen");
+        let socket = std::net::UdpSocket::bind(anywhere()).unwrap();
+        let address = socket.local_addr().unwrap();
+        let builder = config(&authority, "linen", "aarau-1", anywhere()).queue(4);
+        let (a, _) = Link::bind(builder.build()).unwrap();
+        for _ in 0..10 {
+            a.send(&vm("olten-1"), address, small());
+        }
+        assert_eq!(a.gauge().snapshot().dropped(Drop::Full), 6);
+        let counters = until(&a, |a| a.dropped(Drop::Stale) == 4).await;
+        assert_eq!(counters.sent(Kind::Gossip).frames, 0);
+        assert_ne!(counters.unreachable, 0);
+    });
+}
+
+#[test]
+fn oversized_message_is_not_sent() {
+    run(async {
+        let authority = authority("linen");
+        let (a, _) = link(&authority, "aarau-1");
+        a.send(&vm("olten-1"), anywhere(), large(2_000_000));
+        assert_eq!(a.gauge().snapshot().dropped(Drop::Oversized), 1);
+    });
+}
--- /dev/null
+++ b/crates/peer/tests/all/refusal.rs
@@ -0,0 +1,201 @@
+//! Peers that must be refused, and bytes that must not crash an endpoint.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use briarshift_peer::keys::Authority;
+use briarshift_peer::{Config, Error, Link, Refusal, Tls, Transport};
+use briarshift_wire::{Frame, MAX_FRAME, VERSION};
+use proptest::prelude::*;
+use quinn::crypto::rustls::QuicClientConfig;
+use quinn::{Connection, ConnectionError, Endpoint};
+use rustls::RootCertStore;
+use rustls::pki_types::pem::PemObject;
+use rustls::pki_types::{CertificateDer, PrivateKeyDer};
+
+use crate::fixture::{anywhere, authority, config, link, next, run, small, tls, until, vm};
+
+/// A client that speaks QUIC and TLS, but sends what it likes.
+async fn raw(
+    tls: &Tls,
+    certified: bool,
+    alpn: &str,
+    to: SocketAddr,
+    name: &str,
+) -> Result<Connection, ConnectionError> {
+    let mut roots = RootCertStore::empty();
+    roots.add(CertificateDer::from_pem_slice(&tls.ca).unwrap()).unwrap();
+    let provider = Arc::new(rustls::crypto::ring::default_provider());
+    let builder = rustls::ClientConfig::builder_with_provider(provider)
+        .with_protocol_versions(&[&rustls::version::TLS13])
+        .unwrap()
+        .with_root_certificates(roots);
+    let mut client = if certified {
+        let chain = vec![CertificateDer::from_pem_slice(&tls.certificate).unwrap()];
+        let key = PrivateKeyDer::from_pem_slice(&tls.key).unwrap();
+        builder.with_client_auth_cert(chain, key).unwrap()
+    } else {
+        builder.with_no_client_auth()
+    };
+    client.alpn_protocols = vec![alpn.as_bytes().to_vec()];
+    let client = QuicClientConfig::try_from(client).unwrap();
+    let mut endpoint = Endpoint::client(anywhere()).unwrap();
+    endpoint.set_default_client_config(quinn::ClientConfig::new(Arc::new(client)));
+    endpoint.connect(to, name).unwrap().await
+}
+
+async fn member(authority: &Authority, to: &Link) -> Connection {
+    let alpn = format!("briarshift/{VERSION}");
+    let tls = tls(authority, "aarau-1");
+    raw(&tls, true, &alpn, to.address(), "olten-1.linen.briarshift").await.unwrap()
+}
+
+fn code(err: &ConnectionError) -> Option<Refusal> {
+    let ConnectionError::ApplicationClosed(close) = err else { return None };
+    Refusal::of_code(u32::try_from(close.error_code.into_inner()).ok()?)
+}
+
+async fn stream(connection: &Connection, bytes: &[u8]) {
+    let mut stream = connection.open_uni().await.unwrap();
+    // The peer may close the connection before it has read everything.
+    if stream.write_all(bytes).await.is_ok() {
+        let _ = stream.finish();
+    }
+}
+
+fn check_refused(bytes: &[u8], reason: Refusal) {
+    run(async {
+        let authority = authority("linen");
+        let (b, mut received) = link(&authority, "olten-1");
+        let connection = member(&authority, &b).await;
+        stream(&connection, bytes).await;
+        assert_eq!(code(&connection.closed().await), Some(reason));
+        assert_eq!(b.gauge().snapshot().refused(reason), 1);
+        assert!(received.try_recv().is_err());
+    });
+}
+
+#[test]
+fn unknown_version_is_refused() {
+    check_refused(&[VERSION + 1, 0], Refusal::Version);
+}
+
+#[test]
+fn oversized_frame_is_refused() {
+    check_refused(&vec![VERSION; MAX_FRAME + 1], Refusal::Oversized);
+}
+
+#[test]
+fn truncated_frame_is_refused() {
+    let frame = Frame::encode(&small()).unwrap();
+    let bytes = frame.as_bytes();
+    check_refused(&bytes[..bytes.len() - 1], Refusal::Truncated);
+}
+
+#[test]
+fn empty_frame_is_refused() {
+    check_refused(&[], Refusal::Truncated);
+}
+
+#[test]
+fn malformed_frame_is_refused() {
+    check_refused(&[VERSION, 99], Refusal::Malformed);
+}
+
+fn check_handshake(fleet: &'static str, certified: bool, alpn: &'static str) {
+    run(async move {
+        let ours = authority("linen");
+        let (b, _received) = link(&ours, "olten-1");
+        let theirs = authority(fleet);
+        let mut tls = tls(&theirs, "aarau-1");
+        tls.ca = ours.pair().certificate.into();
+        let to = raw(&tls, certified, alpn, b.address(), "olten-1.linen.briarshift").await;
+        // TLS 1.3 lets the client believe in the connection for a while.
+        if let Ok(connection) = to {
+            connection.closed().await;
+        }
+        let counters = until(&b, |b| b.refused(Refusal::Handshake) == 1).await;
+        assert_eq!(counters.handshakes, 0);
+    });
+}
+
+#[test]
+fn peer_without_a_certificate_is_refused() {
+    check_handshake("linen", false, "briarshift/1");
+}
+
+#[test]
+fn peer_of_another_authority_is_refused() {
+    check_handshake("linen", true, "briarshift/1");
+}
+
+#[test]
+fn peer_of_another_protocol_version_is_refused() {
+    check_handshake("linen", true, "briarshift/0");
+}
+
+/// Trusting two fleets' authorities is an operator's mistake; the names still
+/// keep them apart.
+#[test]
+fn peer_of_another_fleet_is_refused_by_name() {
+    run(async {
+        let (ours, theirs) = (authority("linen"), authority("rolls"));
+        let mut trusting = tls(&ours, "olten-1");
+        trusting.ca.extend(theirs.pair().certificate.bytes());
+        let (fleet, name) = ("linen".parse().unwrap(), vm("olten-1"));
+        let config = Config::builder(fleet, name, anywhere(), trusting).build();
+        let (b, _received) = Link::bind(config).unwrap();
+        let mut tls = tls(&theirs, "aarau-1");
+        tls.ca = ours.pair().certificate.into();
+        let to = raw(&tls, true, "briarshift/1", b.address(), "olten-1.linen.briarshift");
+        let connection = to.await.unwrap();
+        assert_eq!(code(&connection.closed().await), Some(Refusal::Fleet));
+        let counters = b.gauge().snapshot();
+        assert_eq!((counters.refused(Refusal::Fleet), counters.handshakes), (1, 0));
+    });
+}
+
+#[test]
+fn own_certificate_must_name_the_vm() {
+    let authority = authority("linen");
+    let tls = tls(&authority, "aarau-1");
+    let config = Config::builder("linen".parse().unwrap(), vm("olten-1"), anywhere(), tls);
+    run(async {
+        assert!(matches!(Link::bind(config.build()), Err(Error::Identity { .. })));
+    });
+}
+
+#[test]
+fn ids_outside_dns_labels_are_refused() {
+    for id in ["UPPER", "a.b", "a_b", "-a", "a-"] {
+        assert!(matches!(authority("linen").issue(&vm(id)), Err(Error::Name(_))), "{id}");
+    }
+}
+
+proptest! {
+    // A handshake a case: a few suffice, the codec has a test of its own.
+    #![proptest_config(ProptestConfig { cases: 12, ..ProptestConfig::default() })]
+
+    #[test]
+    fn arbitrary_bytes_leave_the_endpoint_serving(
+        bytes in prop::collection::vec(any::<u8>(), 0..2_000),
+        datagram in any::<bool>(),
+    ) {
+        run(async {
+            let authority = authority("linen");
+            let (b, mut received) = link(&authority, "olten-1");
+            let connection = member(&authority, &b).await;
+            let limit = connection.max_datagram_size().unwrap();
+            if datagram {
+                let part = &bytes[..bytes.len().min(limit)];
+                connection.send_datagram(part.to_vec().into()).unwrap();
+            } else {
+                stream(&connection, &bytes).await;
+            }
+            let (a, _) = Link::bind(config(&authority, "linen", "aarau-2", anywhere()).build())
+                .unwrap();
+            a.send(&vm("olten-1"), b.address(), small());
+            while next(&mut received).await.from != vm("aarau-2") {}
+        });
+    }
+}
--- a/crates/wire/src/codec.rs
+++ b/crates/wire/src/codec.rs
@@ -20,6 +20,9 @@
     /// The version byte is not [`VERSION`].
     #[error("the frame has version {0}, this VM speaks {VERSION}: run one release on all VMs")]
     Version(u8),
+    /// The message ends early.
+    #[error("the frame ends before its message does: send it whole")]
+    Truncated,
     /// The message does not decode, or bytes are left over.
     #[error("the frame does not hold one message ({0}): run one release on all VMs")]
     Malformed(String),
@@ -67,8 +70,10 @@
         if version != VERSION {
             return Err(Error::Version(version));
         }
-        let (message, rest) =
-            postcard::take_from_bytes(body).map_err(|err| Error::Malformed(err.to_string()))?;
+        let (message, rest) = postcard::take_from_bytes(body).map_err(|err| match err {
+            postcard::Error::DeserializeUnexpectedEnd => Error::Truncated,
+            err => Error::Malformed(err.to_string()),
+        })?;
         if !rest.is_empty() {
             return Err(Error::Malformed(format!("{} bytes left over", rest.len())));
         }
--- /dev/null
+++ b/crates/wire/tests/all/main.rs
@@ -0,0 +1,3 @@
+//! Tests of the messages' codec.
+
+mod codec;
--- a/src/bin/briarshift.rs
+++ b/src/bin/briarshift.rs
@@ -4,7 +4,7 @@
 use std::process::ExitCode;
 
 use actix_rt::System;
-use briarshift::commands::{drain, serve, status};
+use briarshift::commands::{drain, keys, serve, status};
 use gumdrop::Options;
 
 /// Command line.
@@ -24,6 +24,8 @@
     Status(status::Options),
     /// tell a VM to take no new requests
     Drain(drain::Options),
+    /// make a development authority and certificates for VMs
+    Keys(keys::Options),
 }
 
 fn main() -> ExitCode {
@@ -53,5 +55,6 @@
         Command::Serve(options) => serve::run(options),
         Command::Status(options) => System::new().block_on(status::run(options)),
         Command::Drain(options) => System::new().block_on(drain::run(options)),
+        Command::Keys(options) => keys::run(options),
     }
 }
--- a/src/commands/mod.rs
+++ b/src/commands/mod.rs
@@ -1,6 +1,7 @@
 //! Subcommands, a file each.
 
 pub mod drain;
+pub mod keys;
 pub mod serve;
 pub mod status;
 
