--- a/crates/target/src/call.rs
+++ b/crates/target/src/call.rs
@@ -87,10 +87,23 @@
     pub content_type: Option<SmolStr>,
     /// The `X-Request-Id` that the target echoed.
     pub echo: Option<SmolStr>,
+    /// Length of the body in bytes, if stated.
+    pub length: Option<u64>,
+    /// The `Retry-After` header, if given.
+    pub retry_after: Option<SmolStr>,
     /// The body.
     pub body: Body,
 }
 
+impl Answer {
+    /// Whether the target refused the call without running it: by its
+    /// protocol 429, or 503 with `Retry-After`. A plain 503 may come from a
+    /// target that failed half-way.
+    pub fn is_refusal(&self) -> bool {
+        self.status == 429 || (self.status == 503 && self.retry_after.is_some())
+    }
+}
+
 /// Why a call has no answer.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize, thiserror::Error)]
 pub enum Failure {
--- a/crates/target/src/http.rs
+++ b/crates/target/src/http.rs
@@ -10,6 +10,7 @@
 use futures::stream::StreamExt;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
+use smol_str::SmolStr;
 
 use crate::{Answer, Attempt, Call, Change, Failure, Order, Outcome, Report, Target};
 
@@ -65,12 +66,14 @@
         let status = response.status().as_u16();
         let content_type = header("content-type");
         let echo = header(REQUEST_ID);
+        let retry_after = header("retry-after");
+        let length = header("content-length").and_then(|text: SmolStr| text.parse().ok());
         // awc applies its timeout to body reads too; a stream may last longer.
         let body = response
             .timeout(Duration::MAX / 4)
             .map(|chunk| chunk.map_err(|err| Failure::Broken(err.to_string().into())))
             .boxed_local();
-        Ok(Answer { status, content_type, echo, body })
+        Ok(Answer { status, content_type, echo, length, retry_after, body })
     }
 
     async fn get<T: DeserializeOwned>(&self, url: String) -> Result<T, Failure> {
@@ -98,6 +101,7 @@
 fn failure(err: &SendRequestError) -> Failure {
     match err {
         SendRequestError::Connect(err) => Failure::NotSent(err.to_string().into()),
+        SendRequestError::Url(err) => Failure::NotSent(err.to_string().into()),
         SendRequestError::Timeout => Failure::Timeout,
         err => Failure::Broken(err.to_string().into()),
     }
