Add stand-ins for the platform, engines and desk runners

Cause: tests and the demo need something to talk to whose own logs, not the router's, say what ran.

Each stand-in speaks the published protocol on loopback, in process or as a subcommand of briarshift-standin, with its own thread and actix system, so that one of them can be killed alone. The store itself is plain data with time as an argument (store::Memory), for property tests of the reducer. Weighed: one shared system for all stand-ins; a crash could then not be shown without ending its neighbours.

Runs go on without their connection and keep their events, which is what makes resume and cancel meaningful.

--- a/crates/platform/src/http.rs
+++ b/crates/platform/src/http.rs
@@ -7,6 +7,7 @@
 
 use std::time::Duration;
 
+use awc::error::{ConnectError, SendRequestError};
 use briarshift_units::Span;
 use futures::future::{FutureExt, LocalBoxFuture};
 
@@ -62,10 +63,12 @@
     Error::Unknown(err.to_string().into())
 }
 
-/// A connection that was never made carried no write.
-fn failure(err: &awc::error::SendRequestError) -> Error {
+/// A connection that was never made carried no write. awc reports one that
+/// closed before the answer's head as a failed connect too (`Disconnected`).
+fn failure(err: &SendRequestError) -> Error {
     match err {
-        awc::error::SendRequestError::Connect(err) => Error::Refused(err.to_string().into()),
+        SendRequestError::Connect(err @ ConnectError::Disconnected) => unknown(err),
+        SendRequestError::Connect(err) => Error::Refused(err.to_string().into()),
         err => unknown(err),
     }
 }
--- /dev/null
+++ b/crates/standin/src/bin/briarshift-standin.rs
@@ -0,0 +1,151 @@
+//! The stand-ins as processes. Each prints `listening 127.0.0.1:PORT` once it
+//! accepts connections; an engine or runner that dies of a fault exits with a
+//! non-zero code.
+
+use std::io::Write;
+use std::net::SocketAddr;
+use std::process::ExitCode;
+use std::time::Duration;
+
+use briarshift_standin::{engine, platform, runner};
+use briarshift_units::{ModelId, Start};
+use gumdrop::Options;
+
+/// Exit code of a stand-in that died of a fault.
+const DIED: u8 = 70;
+
+#[derive(Debug, Options)]
+struct Arguments {
+    /// print this help
+    help: bool,
+    /// which stand-in to run
+    #[options(command, required)]
+    command: Option<Command>,
+}
+
+#[derive(Debug, Options)]
+enum Command {
+    /// the platform's service
+    Platform(Platform),
+    /// a model engine
+    Engine(Engine),
+    /// a desk runner
+    Runner(Runner),
+}
+
+#[derive(Debug, Options)]
+struct Platform {
+    /// print this help
+    help: bool,
+    /// loopback port, 0 to let the system choose
+    #[options(meta = "PORT")]
+    port: u16,
+}
+
+#[derive(Debug, Options)]
+struct Engine {
+    /// print this help
+    help: bool,
+    /// loopback port, 0 to let the system choose
+    #[options(meta = "PORT")]
+    port: u16,
+    /// start number of the process
+    #[options(no_short, default = "1", meta = "N")]
+    start: u64,
+    /// a model held at the start (may be repeated)
+    #[options(meta = "ID")]
+    model: Vec<ModelId>,
+    /// chats whose context is held
+    #[options(default = "1024", meta = "CHATS")]
+    cache: usize,
+    /// milliseconds a token takes
+    #[options(no_short, default = "0", meta = "MS")]
+    token_ms: u64,
+    /// least number of tokens of an answer
+    #[options(no_short, default = "0", meta = "N")]
+    tokens: usize,
+    /// milliseconds before the first token of a chat not held
+    #[options(no_short, default = "0", meta = "MS")]
+    prefill_ms: u64,
+    /// greatest age of a load report in milliseconds
+    #[options(no_short, default = "0", meta = "MS")]
+    load_lag_ms: u64,
+    /// how late cache events are shown, in milliseconds
+    #[options(no_short, default = "0", meta = "MS")]
+    event_lag_ms: u64,
+    /// lose every N-th cache event, 0 for none
+    #[options(no_short, default = "0", meta = "N")]
+    event_gap: u64,
+    /// obey orders whatever their fencing number
+    #[options(no_short)]
+    ignore_fencing: bool,
+    /// milliseconds to load a model
+    #[options(no_short, default = "0", meta = "MS")]
+    model_load_ms: u64,
+}
+
+#[derive(Debug, Options)]
+struct Runner {
+    /// print this help
+    help: bool,
+    /// loopback port, 0 to let the system choose
+    #[options(meta = "PORT")]
+    port: u16,
+    /// start number of the process
+    #[options(no_short, default = "1", meta = "N")]
+    start: u64,
+    /// milliseconds a call takes
+    #[options(no_short, default = "0", meta = "MS")]
+    work_ms: u64,
+}
+
+fn main() -> anyhow::Result<ExitCode> {
+    env_logger::init();
+    let arguments = Arguments::parse_args_default_or_exit();
+    let died = match arguments.command {
+        Some(Command::Platform(options)) => {
+            let server = platform::Server::start_on(options.port)?;
+            announce(server.address())?;
+            server.wait();
+            false
+        }
+        Some(Command::Engine(options)) => {
+            let server = engine::Server::start(settings(options))?;
+            announce(server.address())?;
+            server.wait()
+        }
+        Some(Command::Runner(options)) => {
+            let server = runner::Server::start(runner::Settings {
+                port: options.port,
+                start: Start(options.start),
+                work: Duration::from_millis(options.work_ms),
+            })?;
+            announce(server.address())?;
+            server.wait()
+        }
+        None => false,
+    };
+    Ok(if died { ExitCode::from(DIED) } else { ExitCode::SUCCESS })
+}
+
+fn settings(options: Engine) -> engine::Settings {
+    engine::Builder::new()
+        .port(options.port)
+        .start(Start(options.start))
+        .models(options.model)
+        .cache(options.cache)
+        .token(Duration::from_millis(options.token_ms))
+        .tokens(options.tokens)
+        .prefill(Duration::from_millis(options.prefill_ms))
+        .load_lag(Duration::from_millis(options.load_lag_ms))
+        .events(Duration::from_millis(options.event_lag_ms), options.event_gap)
+        .checks_fencing(!options.ignore_fencing)
+        .model_load(Duration::from_millis(options.model_load_ms))
+        .build()
+}
+
+fn announce(address: SocketAddr) -> std::io::Result<()> {
+    let mut out = std::io::stdout();
+    writeln!(out, "listening {address}")?;
+    out.flush()
+}
--- /dev/null
+++ b/crates/standin/src/engine/chat.rs
@@ -0,0 +1,147 @@
+//! The chat protocol: what is asked, what is answered, and the events of a
+//! stream.
+
+use briarshift_units::ChatKey;
+use bytes::Bytes;
+use serde::{Deserialize, Serialize};
+use serde_json::{Value, json};
+use smol_str::SmolStr;
+use std::hash::{DefaultHasher, Hash, Hasher};
+
+/// A token added to answers shorter than the wanted length.
+const FILLER: &str = " ~";
+
+/// A request for a completion.
+#[derive(Debug, Clone, Deserialize)]
+pub(super) struct Request {
+    #[serde(default)]
+    pub model: SmolStr,
+    #[serde(default)]
+    pub messages: Vec<Message>,
+    #[serde(default)]
+    pub stream: bool,
+}
+
+#[derive(Debug, Clone, Deserialize)]
+pub(super) struct Message {
+    #[serde(default)]
+    pub content: Value,
+}
+
+impl Message {
+    fn text(&self) -> String {
+        self.content.as_str().map_or_else(|| self.content.to_string(), str::to_owned)
+    }
+}
+
+impl Request {
+    /// All text, to be searched for the one that crashes the engine.
+    pub fn text(&self) -> String {
+        self.messages.iter().map(Message::text).collect::<Vec<_>>().join("\n")
+    }
+
+    pub fn last(&self) -> String {
+        self.messages.last().map(Message::text).unwrap_or_default()
+    }
+
+    pub fn prompt_tokens(&self) -> u64 {
+        let words = self.messages.iter().map(|message| message.text().split_whitespace().count());
+        words.sum::<usize>() as u64
+    }
+
+    /// The chat by its header, else by its first message.
+    pub fn chat(&self, header: Option<&str>) -> ChatKey {
+        let hash = |text: &str| {
+            let mut hasher = DefaultHasher::new();
+            text.hash(&mut hasher);
+            ChatKey(hasher.finish())
+        };
+        match header {
+            Some(text) => text.parse().unwrap_or_else(|_| hash(text)),
+            None => hash(&self.messages.first().map(Message::text).unwrap_or_default()),
+        }
+    }
+}
+
+/// The whole answer to a last message: the message itself, filled up to a
+/// number of tokens. A caller can so check that the answer is whole and its
+/// own.
+///
+/// # Examples
+///
+/// ```
+/// use briarshift_standin::engine::answer;
+/// assert_eq!(answer("my nonce 7", 4), "my nonce 7 ~");
+/// assert_eq!(answer("my nonce 7", 0), "my nonce 7");
+/// ```
+pub fn answer(last: &str, tokens: usize) -> String {
+    pieces(last, tokens).concat()
+}
+
+/// The answer's tokens.
+pub(super) fn pieces(last: &str, tokens: usize) -> Vec<String> {
+    let mut pieces: Vec<_> = last.split_inclusive(' ').map(str::to_owned).collect();
+    let missing = tokens.saturating_sub(pieces.len());
+    pieces.extend(std::iter::repeat_n(FILLER.to_owned(), missing));
+    pieces
+}
+
+/// Tokens used, as reported to the caller.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize)]
+pub(super) struct Usage {
+    pub prompt: u64,
+    pub cached: u64,
+    pub completion: u64,
+}
+
+impl Usage {
+    fn json(self) -> Value {
+        json!({
+            "prompt_tokens": self.prompt,
+            "completion_tokens": self.completion,
+            "total_tokens": self.prompt + self.completion,
+            "prompt_tokens_details": { "cached_tokens": self.cached },
+        })
+    }
+}
+
+/// The answer in one piece; without a finish reason if it is not whole.
+pub(super) fn body(id: &str, model: &str, text: &str, usage: Usage, whole: bool) -> Value {
+    let finish_reason = whole.then_some("stop");
+    let message = json!({ "role": "assistant", "content": text });
+    let choice = json!({ "index": 0, "message": message, "finish_reason": finish_reason });
+    json!({
+        "id": id,
+        "object": "chat.completion",
+        "model": model,
+        "choices": [choice],
+        "usage": usage.json(),
+    })
+}
+
+fn event(number: usize, data: &str) -> Bytes {
+    format!("id: {number}\ndata: {data}\n\n").into()
+}
+
+/// An event with one token.
+pub(super) fn delta(number: usize, id: &str, model: &str, piece: &str) -> Bytes {
+    let choice = json!({ "index": 0, "delta": { "content": piece }, "finish_reason": null });
+    event(number, &chunk(id, model, &choice).to_string())
+}
+
+/// The events that end a whole stream, from a number on.
+pub(super) fn end(number: usize, id: &str, model: &str, usage: Usage) -> Vec<Bytes> {
+    let choice = json!({ "index": 0, "delta": {}, "finish_reason": "stop" });
+    let mut last = chunk(id, model, &Value::Null);
+    last["choices"] = json!([]);
+    last["usage"] = usage.json();
+    vec![
+        event(number, &chunk(id, model, &choice).to_string()),
+        event(number + 1, &last.to_string()),
+        event(number + 2, "[DONE]"),
+    ]
+}
+
+fn chunk(id: &str, model: &str, choice: &Value) -> Value {
+    json!({ "id": id, "object": "chat.completion.chunk", "model": model, "choices": [choice] })
+}
--- /dev/null
+++ b/crates/standin/src/engine/state.rs
@@ -0,0 +1,154 @@
+//! An engine's state: plain data behind one lock.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use briarshift_target::{Order, Outcome, Report};
+use briarshift_units::{Fencing, ModelId};
+use bytes::Bytes;
+use serde::{Deserialize, Serialize};
+use smol_str::SmolStr;
+
+use super::cache::Cache;
+use super::{FaultKind, Settings};
+use crate::fault::Switches;
+use crate::run::Recorder;
+
+/// An order as it was received.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Received {
+    /// The order.
+    pub order: Order,
+    /// Whether it was obeyed.
+    pub obeyed: bool,
+}
+
+/// A model that is being loaded.
+struct Loading {
+    model: ModelId,
+    ready_at: Instant,
+}
+
+/// One run's output, kept so that a stream can be resumed.
+pub(super) struct Stream {
+    pub place: usize,
+    pub events: Vec<Bytes>,
+    pub text: String,
+    pub ended_at: Option<Instant>,
+    pub cancelled: bool,
+}
+
+impl Stream {
+    pub fn new(place: usize) -> Self {
+        Self { place, events: Vec::new(), text: String::new(), ended_at: None, cancelled: false }
+    }
+}
+
+struct Snapshot {
+    at: Instant,
+    running: u32,
+}
+
+pub(super) struct State {
+    pub settings: Settings,
+    pub cache: Cache,
+    pub recorder: Recorder,
+    pub faults: Switches<FaultKind>,
+    pub streams: BTreeMap<SmolStr, Stream>,
+    pub received: Vec<Received>,
+    pub crashed: bool,
+    models: Vec<ModelId>,
+    loading: Vec<Loading>,
+    restricted: bool,
+    fencing: Option<Fencing>,
+    snapshot: Option<Snapshot>,
+}
+
+impl State {
+    pub fn new(settings: Settings) -> Self {
+        Self {
+            cache: Cache::new(settings.cache),
+            recorder: Recorder::new(),
+            faults: Switches::default(),
+            streams: BTreeMap::new(),
+            received: Vec::new(),
+            crashed: false,
+            models: settings.models.clone(),
+            loading: Vec::new(),
+            restricted: !settings.models.is_empty(),
+            fencing: None,
+            snapshot: None,
+            settings,
+        }
+    }
+
+    /// Whether a model is held.
+    pub fn serves(&mut self, model: &str) -> bool {
+        self.finish_loading();
+        !self.restricted || self.models.iter().any(|held| held.as_str() == model)
+    }
+
+    /// The load as last sampled; the sample is renewed when it is older than
+    /// the lag.
+    pub fn report(&mut self) -> Report {
+        self.finish_loading();
+        let lag = self.settings.load_lag;
+        let now = Instant::now();
+        let old = self.snapshot.as_ref().is_none_or(|snapshot| snapshot.at + lag <= now);
+        if old {
+            self.snapshot = Some(Snapshot { at: now, running: self.recorder.running() });
+        }
+        Report {
+            start: self.settings.start,
+            running: self.snapshot.as_ref().map_or(0, |snapshot| snapshot.running),
+            waiting: 0,
+            leaving: self.recorder.leaving(),
+            models: self.models.clone(),
+            fencing: self.fencing.filter(|_| self.settings.checks_fencing),
+        }
+    }
+
+    /// Obeys an order, unless its fencing number is old and numbers are
+    /// checked.
+    pub fn order(&mut self, order: Order) -> Outcome {
+        self.finish_loading();
+        let newest = self.fencing.unwrap_or_default();
+        if self.settings.checks_fencing && order.fencing < newest {
+            self.received.push(Received { order, obeyed: false });
+            return Outcome::Stale { newest };
+        }
+        self.fencing = Some(newest.max(order.fencing));
+        self.restricted = true;
+        self.models.retain(|model| order.models.contains(model));
+        self.loading.retain(|loading| order.models.contains(&loading.model));
+        let mut ready_at = Instant::now();
+        if let Some(last) = self.loading.last() {
+            ready_at = last.ready_at;
+        }
+        for model in &order.models {
+            let known = self.loading.iter().any(|loading| &loading.model == model);
+            if known || self.models.contains(model) {
+                continue;
+            }
+            ready_at += self.settings.model_load;
+            self.loading.push(Loading { model: model.clone(), ready_at });
+        }
+        self.received.push(Received { order, obeyed: true });
+        Outcome::Accepted
+    }
+
+    /// Drops streams that are past their retention.
+    pub fn forget(&mut self) {
+        let retention: Duration = self.settings.retention;
+        let now = Instant::now();
+        self.streams.retain(|_, stream| stream.ended_at.is_none_or(|at| now < at + retention));
+    }
+
+    fn finish_loading(&mut self) {
+        let now = Instant::now();
+        while self.loading.first().is_some_and(|loading| loading.ready_at <= now) {
+            let loading = self.loading.remove(0);
+            self.models.push(loading.model);
+        }
+    }
+}
--- /dev/null
+++ b/crates/standin/src/fault.rs
@@ -0,0 +1,87 @@
+//! Fault switches.
+
+use serde::{Deserialize, Serialize};
+
+/// A fault that is switched on, as posted to `/admin/fault`.
+///
+/// # Examples
+///
+/// ```
+/// use briarshift_standin::{Fault, platform};
+/// let fault: Fault<platform::FaultKind> =
+///     serde_json::from_str(r#"{"kind":{"slow":{"delay_ms":50}},"count":3}"#).unwrap();
+/// assert_eq!(fault, Fault::times(platform::FaultKind::Slow { delay_ms: 50 }, 3));
+/// ```
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Fault<K> {
+    /// What goes wrong.
+    pub kind: K,
+    /// How many calls it hits; `None` until cleared.
+    #[serde(default)]
+    pub count: Option<u32>,
+}
+
+impl<K> Fault<K> {
+    /// A fault that stays until cleared.
+    pub fn lasting(kind: K) -> Self {
+        Self { kind, count: None }
+    }
+
+    /// A fault that hits a number of calls.
+    pub fn times(kind: K, count: u32) -> Self {
+        Self { kind, count: Some(count) }
+    }
+}
+
+/// The faults switched on, oldest first.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Switches<K> {
+    active: Vec<Fault<K>>,
+}
+
+impl<K> Default for Switches<K> {
+    fn default() -> Self {
+        Self { active: Vec::new() }
+    }
+}
+
+impl<K: Clone> Switches<K> {
+    /// Switches a fault on.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use briarshift_standin::fault::{Fault, Switches};
+    /// let mut switches = Switches::default();
+    /// switches.set(Fault::times("late", 1));
+    /// assert_eq!(switches.take(|kind| *kind == "late"), Some("late"));
+    /// assert_eq!(switches.take(|kind| *kind == "late"), None);
+    /// ```
+    pub fn set(&mut self, fault: Fault<K>) {
+        self.active.push(fault);
+    }
+
+    /// Switches all faults off.
+    pub fn clear(&mut self) {
+        self.active.clear();
+    }
+
+    /// The first fault that matches, without using up a count.
+    pub fn peek(&self, matches: impl Fn(&K) -> bool) -> Option<&K> {
+        self.active.iter().map(|fault| &fault.kind).find(|kind| matches(kind))
+    }
+
+    /// The first fault that matches; uses up one of its count.
+    pub fn take(&mut self, matches: impl Fn(&K) -> bool) -> Option<K> {
+        let place = self.active.iter().position(|fault| matches(&fault.kind))?;
+        let fault = &mut self.active[place];
+        let kind = fault.kind.clone();
+        if let Some(count) = &mut fault.count {
+            *count = count.saturating_sub(1);
+            if *count == 0 {
+                self.active.remove(place);
+            }
+        }
+        Some(kind)
+    }
+}
--- /dev/null
+++ b/crates/standin/src/run.rs
@@ -0,0 +1,122 @@
+//! A target's own log of what it ran: the evidence that tests judge by.
+
+use std::collections::BTreeMap;
+use std::time::Instant;
+
+use briarshift_units::ChatKey;
+use serde::{Deserialize, Serialize};
+use smol_str::SmolStr;
+
+/// One run of a request. Says nothing of accounts, which targets do not know.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Run {
+    /// The `X-Request-Id` it came with.
+    pub id: SmolStr,
+    /// The chat, or `None` for a desk call.
+    pub chat: Option<ChatKey>,
+    /// The booking, from the body or path of a desk call.
+    pub booking: Option<SmolStr>,
+    /// When it started, in milliseconds since the target's start.
+    pub started_ms: u64,
+    /// When it ended, if it has.
+    pub ended_ms: Option<u64>,
+    /// Whether it produced its whole answer.
+    pub whole: bool,
+    /// Tokens of the prompt.
+    pub prompt_tokens: u64,
+    /// Of these, tokens found in the cache.
+    pub cached_tokens: u64,
+    /// Tokens generated.
+    pub completion_tokens: u64,
+}
+
+impl Run {
+    /// Whether the chat's context was still held.
+    pub fn cached(&self) -> bool {
+        0 < self.cached_tokens
+    }
+}
+
+/// All runs of one start of a target.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Log {
+    /// Runs in the order they started.
+    pub runs: Vec<Run>,
+    /// Most runs at once.
+    pub max_running: u32,
+    /// When the target began to leave, in milliseconds since its start.
+    pub left_ms: Option<u64>,
+    /// Runs of each booking.
+    pub bookings: BTreeMap<SmolStr, u32>,
+}
+
+/// Keeps the log.
+#[derive(Debug)]
+pub(crate) struct Recorder {
+    origin: Instant,
+    log: Log,
+    running: u32,
+}
+
+impl Recorder {
+    pub fn new() -> Self {
+        Self { origin: Instant::now(), log: Log::default(), running: 0 }
+    }
+
+    pub fn log(&self) -> &Log {
+        &self.log
+    }
+
+    pub fn running(&self) -> u32 {
+        self.running
+    }
+
+    pub fn leave(&mut self) {
+        let now = self.now_ms();
+        self.log.left_ms.get_or_insert(now);
+    }
+
+    pub fn leaving(&self) -> bool {
+        self.log.left_ms.is_some()
+    }
+
+    /// Starts a run and returns its place in the log.
+    pub fn start(&mut self, id: &str, chat: Option<ChatKey>, booking: Option<&str>) -> usize {
+        self.running += 1;
+        self.log.max_running = self.log.max_running.max(self.running);
+        if let Some(booking) = booking {
+            *self.log.bookings.entry(booking.into()).or_default() += 1;
+        }
+        self.log.runs.push(Run {
+            id: id.into(),
+            chat,
+            booking: booking.map(Into::into),
+            started_ms: self.now_ms(),
+            ended_ms: None,
+            whole: false,
+            prompt_tokens: 0,
+            cached_tokens: 0,
+            completion_tokens: 0,
+        });
+        self.log.runs.len() - 1
+    }
+
+    pub fn get_mut(&mut self, place: usize) -> &mut Run {
+        &mut self.log.runs[place]
+    }
+
+    /// Ends a run. A second end is ignored.
+    pub fn end(&mut self, place: usize, whole: bool) {
+        let now = self.now_ms();
+        let run = &mut self.log.runs[place];
+        if run.ended_ms.is_none() {
+            run.ended_ms = Some(now);
+            run.whole = whole;
+            self.running -= 1;
+        }
+    }
+
+    fn now_ms(&self) -> u64 {
+        u64::try_from(self.origin.elapsed().as_millis()).unwrap_or(u64::MAX)
+    }
+}
--- /dev/null
+++ b/crates/standin/src/runner.rs
@@ -0,0 +1,322 @@
+//! A desk runner: bookings, cancellations and stock checks.
+//!
+//! | call | answer |
+//! |---|---|
+//! | `POST /bookings` | books; the body's `booking` field names the booking |
+//! | `DELETE /bookings/{id}` | cancels |
+//! | `GET /stock/{item}` | the stock of an item |
+//! | `GET /load` | the load report |
+//! | `GET /admin/runs` | the [`Log`] of runs, with the runs of each booking |
+//! | `POST /admin/leave` | the runner begins to leave; it still runs what it gets |
+//! | `POST /admin/fault` | switches a [`Fault`] of a [`FaultKind`] on |
+//! | `DELETE /admin/fault` | switches all faults off |
+//!
+//! Of the faults, [`FaultKind::Late`] delays the answer after the run,
+//! [`FaultKind::Cut`] runs and then drops the answer, and
+//! [`FaultKind::OmitEnd`] cuts the body short. The runner does not tell a
+//! repeated booking from a new one: that is what the router must prevent.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, OnceLock};
+use std::time::Duration;
+
+use actix_web::body::SizedStream;
+use actix_web::dev::ServerHandle;
+use actix_web::http::header::RETRY_AFTER;
+use actix_web::web::{self, Bytes, Data, Json, Path, ServiceConfig};
+use actix_web::{HttpRequest, HttpResponse};
+use briarshift_target::Report;
+use briarshift_target::http::REQUEST_ID;
+use briarshift_units::Start;
+use futures::stream::{self, StreamExt};
+use serde_json::{Value, json};
+
+use crate::Fault;
+use crate::engine::FaultKind;
+use crate::fault::Switches;
+use crate::run::{Log, Recorder};
+use crate::serve::{Listener, broken, kill, lock};
+
+/// Time between two looks at whether a freeze is over.
+const FREEZE_PAUSE: Duration = Duration::from_millis(5);
+/// The id echoed by a crossed answer when no other run is known.
+const STRANGER: &str = "0000000000000000.1";
+/// Pieces of an item that are always in stock.
+const STOCK: u32 = 12;
+
+/// What a runner is like.
+#[derive(Debug, Clone, Copy)]
+pub struct Settings {
+    /// The loopback port; 0 lets the operating system choose.
+    pub port: u16,
+    /// Start number of the process.
+    pub start: Start,
+    /// Time a call takes.
+    pub work: Duration,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self { port: 0, start: Start(1), work: Duration::ZERO }
+    }
+}
+
+struct State {
+    settings: Settings,
+    recorder: Recorder,
+    faults: Switches<FaultKind>,
+    crashed: bool,
+}
+
+struct Shared {
+    state: Mutex<State>,
+    handle: OnceLock<ServerHandle>,
+}
+
+impl Shared {
+    fn crash(&self) {
+        lock(&self.state).crashed = true;
+        if let Some(handle) = self.handle.get() {
+            kill(handle);
+        }
+    }
+}
+
+/// A running desk runner.
+pub struct Server {
+    shared: Arc<Shared>,
+    listener: Listener,
+}
+
+impl Server {
+    /// Starts a runner.
+    ///
+    /// # Errors
+    ///
+    /// The listener's error.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use briarshift_standin::runner::{Server, Settings};
+    /// let runner = Server::start(Settings::default()).unwrap();
+    /// assert!(runner.log().bookings.is_empty());
+    /// runner.close();
+    /// ```
+    pub fn start(settings: Settings) -> io::Result<Self> {
+        let state = State {
+            settings,
+            recorder: Recorder::new(),
+            faults: Switches::default(),
+            crashed: false,
+        };
+        let shared = Arc::new(Shared { state: Mutex::new(state), handle: OnceLock::new() });
+        let data = Data::from(Arc::clone(&shared));
+        let listener = Listener::start(settings.port, move |config| routes(config, &data))?;
+        shared.handle.get_or_init(|| listener.handle());
+        Ok(Self { shared, listener })
+    }
+
+    /// Where it listens.
+    pub fn address(&self) -> SocketAddr {
+        self.listener.address()
+    }
+
+    /// Its log of runs so far.
+    pub fn log(&self) -> Log {
+        lock(&self.shared.state).recorder.log().clone()
+    }
+
+    /// Begins to leave.
+    pub fn leave(&self) {
+        lock(&self.shared.state).recorder.leave();
+    }
+
+    /// Switches a fault on.
+    pub fn fault(&self, fault: Fault<FaultKind>) {
+        lock(&self.shared.state).faults.set(fault);
+    }
+
+    /// Switches all faults off.
+    pub fn clear_faults(&self) {
+        lock(&self.shared.state).faults.clear();
+    }
+
+    /// Dies as if killed. The log stays readable.
+    pub fn kill(&self) {
+        self.shared.crash();
+    }
+
+    /// Whether it died of a fault or was killed.
+    pub fn crashed(&self) -> bool {
+        lock(&self.shared.state).crashed
+    }
+
+    /// Waits until it stops, and tells whether it died.
+    pub fn wait(mut self) -> bool {
+        self.listener.wait();
+        self.crashed()
+    }
+
+    /// Stops it.
+    pub fn close(self) {
+        self.listener.close();
+    }
+}
+
+fn routes(config: &mut ServiceConfig, data: &Data<Shared>) {
+    config
+        .app_data(data.clone())
+        .route("/bookings", web::post().to(book))
+        .route("/bookings/{id}", web::delete().to(cancel))
+        .route("/stock/{item:.*}", web::get().to(stock))
+        .route("/load", web::get().to(load))
+        .route("/admin/runs", web::get().to(runs))
+        .route("/admin/leave", web::post().to(leave))
+        .route("/admin/fault", web::post().to(set_fault))
+        .route("/admin/fault", web::delete().to(clear_faults));
+}
+
+async fn book(shared: Data<Shared>, head: HttpRequest, body: Bytes) -> HttpResponse {
+    let parsed: Option<Value> = serde_json::from_slice(&body).ok();
+    let booking = parsed.as_ref().and_then(|body| body["booking"].as_str());
+    let Some(booking) = booking else {
+        return HttpResponse::BadRequest().json(json!({ "error": "the body names no booking" }));
+    };
+    let text = String::from_utf8_lossy(&body);
+    run(&shared, &head, Some(booking), &text, json!({ "booking": booking })).await
+}
+
+async fn cancel(shared: Data<Shared>, head: HttpRequest, id: Path<String>) -> HttpResponse {
+    run(&shared, &head, None, &id, json!({ "cancelled": *id })).await
+}
+
+async fn stock(shared: Data<Shared>, head: HttpRequest, item: Path<String>) -> HttpResponse {
+    run(&shared, &head, None, &item, json!({ "item": *item, "stock": STOCK })).await
+}
+
+async fn run(
+    shared: &Shared,
+    head: &HttpRequest,
+    booking: Option<&str>,
+    text: &str,
+    answer: Value,
+) -> HttpResponse {
+    thaw(shared).await;
+    if let Some(refusal) = refuse(shared) {
+        return refusal;
+    }
+    let id = head.headers().get(REQUEST_ID).and_then(|value| value.to_str().ok());
+    let id = id.unwrap_or_default();
+    let (place, before, work, crashes) = {
+        let mut state = lock(&shared.state);
+        let before = state.recorder.log().runs.last().map(|run| run.id.clone());
+        let place = state.recorder.start(id, None, booking);
+        let crash = |kind: &FaultKind| match kind {
+            FaultKind::Crash { text: fatal } => text.contains(fatal.as_str()),
+            _ => false,
+        };
+        (place, before, state.settings.work, state.faults.peek(crash).is_some())
+    };
+    if crashes {
+        shared.crash();
+        return std::future::pending().await;
+    }
+    if !work.is_zero() {
+        tokio::time::sleep(work).await;
+    }
+    let flaw = {
+        let mut state = lock(&shared.state);
+        state.recorder.end(place, true);
+        let taken = |kind: &FaultKind| {
+            matches!(
+                kind,
+                FaultKind::Late { .. }
+                    | FaultKind::Cut { .. }
+                    | FaultKind::Crossed
+                    | FaultKind::OmitEnd
+            )
+        };
+        state.faults.take(taken)
+    };
+    let mut shown = id.to_owned();
+    match flaw {
+        Some(FaultKind::Late { delay_ms }) => {
+            tokio::time::sleep(Duration::from_millis(delay_ms)).await;
+        }
+        Some(FaultKind::Cut { .. }) => return broken(),
+        Some(FaultKind::Crossed) => {
+            shown = before.map_or_else(|| STRANGER.to_owned(), Into::into);
+        }
+        Some(FaultKind::OmitEnd) => return torn(&shown, &answer),
+        _ => {}
+    }
+    thaw(shared).await;
+    HttpResponse::Ok().insert_header((REQUEST_ID, shown)).json(answer)
+}
+
+/// Half an answer, whose connection then breaks off.
+fn torn(id: &str, answer: &Value) -> HttpResponse {
+    let text = answer.to_string();
+    let half = Bytes::copy_from_slice(&text.as_bytes()[..text.len() / 2]);
+    // The pause lets the half be flushed before the connection ends.
+    let cut = async {
+        tokio::time::sleep(FREEZE_PAUSE).await;
+        Err(io::Error::from(io::ErrorKind::ConnectionAborted))
+    };
+    let chunks = stream::once(async { Ok(half) }).chain(stream::once(cut));
+    HttpResponse::Ok()
+        .insert_header((REQUEST_ID, id))
+        .content_type("application/json")
+        .body(SizedStream::new(text.len() as u64, chunks.boxed_local()))
+}
+
+fn refuse(shared: &Shared) -> Option<HttpResponse> {
+    let refused = |kind: &FaultKind| matches!(kind, FaultKind::Refuse { .. });
+    match lock(&shared.state).faults.take(refused) {
+        Some(FaultKind::Refuse { retry_after_s }) => Some(
+            HttpResponse::ServiceUnavailable()
+                .insert_header((RETRY_AFTER, retry_after_s))
+                .json(json!({ "error": "no room" })),
+        ),
+        _ => None,
+    }
+}
+
+async fn thaw(shared: &Shared) {
+    let frozen = || lock(&shared.state).faults.peek(|kind| *kind == FaultKind::Freeze).is_some();
+    while frozen() {
+        tokio::time::sleep(FREEZE_PAUSE).await;
+    }
+}
+
+async fn load(shared: Data<Shared>) -> Json<Report> {
+    thaw(&shared).await;
+    let state = lock(&shared.state);
+    Json(Report {
+        start: state.settings.start,
+        running: state.recorder.running(),
+        leaving: state.recorder.leaving(),
+        ..Report::default()
+    })
+}
+
+async fn runs(shared: Data<Shared>) -> HttpResponse {
+    HttpResponse::Ok().json(lock(&shared.state).recorder.log())
+}
+
+async fn leave(shared: Data<Shared>) -> HttpResponse {
+    lock(&shared.state).recorder.leave();
+    HttpResponse::NoContent().finish()
+}
+
+async fn set_fault(shared: Data<Shared>, Json(fault): Json<Fault<FaultKind>>) -> HttpResponse {
+    lock(&shared.state).faults.set(fault);
+    HttpResponse::NoContent().finish()
+}
+
+async fn clear_faults(shared: Data<Shared>) -> HttpResponse {
+    lock(&shared.state).faults.clear();
+    HttpResponse::NoContent().finish()
+}
--- /dev/null
+++ b/crates/standin/src/store.rs
@@ -0,0 +1,148 @@
+//! The platform's store as plain data: no clock, no socket.
+
+use std::collections::BTreeMap;
+
+use briarshift_platform::{Entry, Error, Expect, Key, Lease, LeaseId, Operation, Reply, Version};
+use briarshift_units::{Moment, Span};
+
+/// Largest value in bytes.
+pub const MAX_VALUE: usize = 1 << 20;
+
+#[derive(Debug, Clone)]
+struct Row {
+    value: String,
+    version: Version,
+    lease: Option<LeaseId>,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Held {
+    ttl: Span,
+    ends: Moment,
+}
+
+/// The store's whole state. Time is an argument, so that property tests drive
+/// it with virtual time.
+#[derive(Debug, Clone, Default)]
+pub struct Memory {
+    rows: BTreeMap<Key, Row>,
+    leases: BTreeMap<LeaseId, Held>,
+    version: Version,
+    lease: LeaseId,
+}
+
+impl Memory {
+    /// Carries out one operation. A watch answers at once: with the value if
+    /// its version is above the one known, else with `None`; waiting is up to
+    /// the caller.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Conflict`] if the condition does not hold,
+    /// [`Error::LeaseEnded`] for a lease that is gone, [`Error::Refused`] for
+    /// a value above [`MAX_VALUE`].
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use briarshift_platform::{Expect, Operation, Reply, Version};
+    /// use briarshift_standin::store::Memory;
+    /// use briarshift_units::Moment;
+    /// let mut memory = Memory::default();
+    /// let key = "a".into();
+    /// let put = Operation::Put { key, value: "1".into(), expect: Expect::Absent, lease: None };
+    /// assert_eq!(memory.execute(Moment(0), put.clone()), Ok(Reply::Written(Version(1))));
+    /// assert!(memory.execute(Moment(0), put).is_err());
+    /// ```
+    pub fn execute(&mut self, now: Moment, operation: Operation) -> Result<Reply, Error> {
+        self.expire(now);
+        match operation {
+            Operation::Get { key } => Ok(Reply::Value(self.entry(&key))),
+            Operation::List { prefix } => Ok(Reply::Values(self.entries(&prefix))),
+            Operation::Put { key, value, expect, lease } => self.put(key, value, expect, lease),
+            Operation::Delete { key, expect } => {
+                self.expect(&key, expect)?;
+                self.rows.remove(&key);
+                Ok(Reply::Done)
+            }
+            Operation::Watch { key, after, wait: _ } => {
+                Ok(Reply::Value(self.entry(&key).filter(|entry| after < entry.version)))
+            }
+            Operation::Grant { ttl } => {
+                self.lease.0 += 1;
+                self.leases.insert(self.lease, Held { ttl, ends: now + ttl });
+                Ok(Reply::Leased(Lease { id: self.lease, ttl }))
+            }
+            Operation::Renew { lease } => {
+                let held = self.leases.get_mut(&lease).ok_or(Error::LeaseEnded)?;
+                held.ends = now + held.ttl;
+                Ok(Reply::Leased(Lease { id: lease, ttl: held.ttl }))
+            }
+            Operation::Revoke { lease } => {
+                self.leases.remove(&lease).ok_or(Error::LeaseEnded)?;
+                self.rows.retain(|_, row| row.lease != Some(lease));
+                Ok(Reply::Done)
+            }
+        }
+    }
+
+    /// Ends leases whose time is up, and deletes their keys.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use briarshift_standin::store::Memory;
+    /// use briarshift_units::Moment;
+    /// Memory::default().expire(Moment(1));
+    /// ```
+    pub fn expire(&mut self, now: Moment) {
+        self.leases.retain(|_, held| now < held.ends);
+        let leases = &self.leases;
+        self.rows.retain(|_, row| row.lease.is_none_or(|lease| leases.contains_key(&lease)));
+    }
+
+    fn entry(&self, key: &Key) -> Option<Entry> {
+        let row = self.rows.get(key)?;
+        Some(Entry { key: key.clone(), value: row.value.clone(), version: row.version })
+    }
+
+    fn entries(&self, prefix: &Key) -> Vec<Entry> {
+        let rows = self.rows.range(prefix.clone()..);
+        rows.take_while(|(key, _)| key.0.starts_with(prefix.0.as_str()))
+            .map(|(key, row)| Entry {
+                key: key.clone(),
+                value: row.value.clone(),
+                version: row.version,
+            })
+            .collect()
+    }
+
+    fn expect(&self, key: &Key, expect: Expect) -> Result<(), Error> {
+        let version = self.rows.get(key).map_or(Version(0), |row| row.version);
+        let holds = match expect {
+            Expect::Absent => version == Version(0),
+            Expect::Version(wanted) => version == wanted,
+            Expect::Any => true,
+        };
+        if holds { Ok(()) } else { Err(Error::Conflict(version)) }
+    }
+
+    fn put(
+        &mut self,
+        key: Key,
+        value: String,
+        expect: Expect,
+        lease: Option<LeaseId>,
+    ) -> Result<Reply, Error> {
+        if MAX_VALUE < value.len() {
+            return Err(Error::Refused("the value is above one mebibyte: split it".into()));
+        }
+        if lease.is_some_and(|lease| !self.leases.contains_key(&lease)) {
+            return Err(Error::LeaseEnded);
+        }
+        self.expect(&key, expect)?;
+        self.version.0 += 1;
+        self.rows.insert(key, Row { value, version: self.version, lease });
+        Ok(Reply::Written(self.version))
+    }
+}
--- /dev/null
+++ b/crates/standin/tests/all/engine.rs
@@ -0,0 +1,171 @@
+//! Model engines.
+
+use std::time::Duration;
+
+use briarshift_standin::Fault;
+use briarshift_standin::engine::{Builder, FaultKind, Server};
+use briarshift_target::{Answer, ChangeKind, Failure, Order, Outcome, Target};
+use briarshift_units::{ChatKey, Fencing, Start};
+use serde_json::{Value, json};
+
+use crate::{call, check, client, send};
+
+const PATH: &str = "/v1/chat/completions";
+
+fn ask(text: &str, stream: bool) -> String {
+    let message = json!({ "role": "user", "content": text });
+    json!({ "model": "m", "messages": [message], "stream": stream }).to_string()
+}
+
+fn with(builder: Builder, test: impl AsyncFnOnce(&Server)) {
+    let engine = Server::start(builder.build()).unwrap();
+    check(test(&engine));
+    engine.close();
+}
+
+/// Sends a chat; the answer's body as text.
+async fn chat(engine: &Server, number: u64, text: &str, stream: bool) -> Result<String, Failure> {
+    let call = call(number, "POST", PATH, &ask(text, stream));
+    Ok(send(engine.address(), call).await?.1)
+}
+
+fn content(body: &str) -> String {
+    let body: Value = serde_json::from_str(body).unwrap();
+    body["choices"][0]["message"]["content"].as_str().unwrap().to_owned()
+}
+
+#[test]
+fn an_answer_is_the_callers_own_and_cached_on_return() {
+    with(Builder::new().tokens(4), async |engine| {
+        let first = chat(engine, 7, "my nonce 7", false).await.unwrap();
+        assert_eq!(content(&first), "my nonce 7 ~");
+        let again: Value =
+            serde_json::from_str(&chat(engine, 107, "my nonce 8", false).await.unwrap()).unwrap();
+        assert_eq!(again["usage"]["prompt_tokens_details"]["cached_tokens"], 3);
+        let log = engine.log();
+        let cached: Vec<_> = log.runs.iter().map(|run| (run.whole, run.cached())).collect();
+        assert_eq!(cached, [(true, false), (true, true)]);
+    });
+}
+
+#[test]
+fn a_stream_has_ids_usage_and_an_end_marker() {
+    with(Builder::new(), async |engine| {
+        let body = chat(engine, 7, "one two", true).await.unwrap();
+        let ids: Vec<_> = body.lines().filter_map(|line| line.strip_prefix("id: ")).collect();
+        assert_eq!(ids, ["1", "2", "3", "4", "5"]);
+        assert!(body.contains(r#""completion_tokens":2"#));
+        assert!(body.ends_with("data: [DONE]\n\n"));
+    });
+}
+
+#[test]
+fn a_cut_stream_is_resumed() {
+    with(Builder::new(), async |engine| {
+        engine.fault(Fault::times(FaultKind::Cut { after: 1 }, 1));
+        // The client can't tell a chunked body's end from a break: only the
+        // end marker does.
+        let cut = chat(engine, 7, "one two", true).await.unwrap();
+        assert!(!cut.contains("id: 2\n") && !cut.contains("[DONE]"), "{cut}");
+        let path = "/v1/streams/0000000000000007.1?after=1";
+        let (_, rest) = send(engine.address(), call(7, "GET", path, "")).await.unwrap();
+        assert!(rest.starts_with("id: 2\n") && rest.ends_with("data: [DONE]\n\n"));
+    });
+}
+
+#[test]
+fn a_cancelled_stream_frees_its_place() {
+    with(Builder::new().token(Duration::from_millis(5)).tokens(10_000), async |engine| {
+        let call = call(7, "POST", PATH, &ask("one", true));
+        let id = call.id;
+        let Answer { body, .. } = client().send(engine.address(), call).await.unwrap();
+        assert_eq!(engine.running(), 1);
+        client().cancel(engine.address(), id).await.unwrap();
+        drop(body);
+        assert_eq!(engine.running(), 0);
+        assert!(!engine.log().runs[0].whole);
+    });
+}
+
+#[test]
+fn an_answer_without_end_marker_or_with_anothers_id() {
+    with(Builder::new(), async |engine| {
+        engine.fault(Fault::times(FaultKind::OmitEnd, 1));
+        let body = chat(engine, 7, "one two", true).await.unwrap();
+        assert!(!body.contains("[DONE]"));
+        engine.fault(Fault::times(FaultKind::Crossed, 1));
+        let call = call(8, "POST", PATH, &ask("three", false));
+        let (head, body) = send(engine.address(), call).await.unwrap();
+        assert_eq!(head.echo.as_deref(), Some("0000000000000007.1"));
+        assert_eq!(content(&body), "one two");
+    });
+}
+
+#[test]
+fn a_crash_breaks_off_every_connection() {
+    with(Builder::new().token(Duration::from_millis(5)).tokens(10_000), async |engine| {
+        let text = "poison".into();
+        engine.fault(Fault::lasting(FaultKind::Crash { text }));
+        let innocent = chat(engine, 7, "one", true);
+        let guilty = async {
+            actix_web::rt::time::sleep(Duration::from_millis(50)).await;
+            chat(engine, 8, "some poison", false).await
+        };
+        let (innocent, guilty) = futures::join!(innocent, guilty);
+        let innocent = innocent.unwrap();
+        assert!(innocent.starts_with("id: 1\n") && !innocent.contains("[DONE]"), "{innocent}");
+        assert!(matches!(guilty, Err(Failure::Broken(_))), "{guilty:?}");
+        assert!(engine.crashed());
+        let after = chat(engine, 9, "one", false).await;
+        assert!(matches!(after, Err(Failure::NotSent(_))), "{after:?}");
+        assert_eq!(engine.log().runs.len(), 2);
+    });
+}
+
+#[test]
+fn cache_events_have_gaps() {
+    with(Builder::new().cache(1).events(Duration::ZERO, 3), async |engine| {
+        chat(engine, 1, "one", false).await.unwrap();
+        chat(engine, 2, "two", false).await.unwrap();
+        let changes = client().changes(engine.address(), 0).await.unwrap();
+        let seen: Vec<_> = changes.iter().map(|row| (row.sequence, row.chat, row.kind)).collect();
+        let stored = ChangeKind::Stored;
+        assert_eq!(seen, [(1, ChatKey(1), stored), (2, ChatKey(2), stored)]);
+        assert!(engine.holds(ChatKey(2)) && !engine.holds(ChatKey(1)));
+    });
+}
+
+#[test]
+fn only_an_engine_that_checks_refuses_an_old_fencing_number() {
+    let order = |fencing, model: &str| Order {
+        fencing: Fencing(fencing),
+        models: vec![model.parse().unwrap()],
+        role: "serve".into(),
+    };
+    for checks in [true, false] {
+        with(Builder::new().checks_fencing(checks), async |engine| {
+            let client = client();
+            let first = client.order(engine.address(), order(2, "a")).await.unwrap();
+            assert_eq!(first, Outcome::Accepted);
+            let second = client.order(engine.address(), order(1, "b")).await.unwrap();
+            let models = client.load(engine.address()).await.unwrap().models;
+            if checks {
+                assert_eq!(second, Outcome::Stale { newest: Fencing(2) });
+                assert_eq!(models, ["a".parse().unwrap()]);
+            } else {
+                assert_eq!(second, Outcome::Accepted);
+                assert_eq!(models, ["b".parse().unwrap()]);
+            }
+        });
+    }
+}
+
+#[test]
+fn a_leaving_engine_says_so() {
+    with(Builder::new().start(Start(9)), async |engine| {
+        engine.leave();
+        let report = client().load(engine.address()).await.unwrap();
+        assert!(report.leaving);
+        assert_eq!(report.start, Start(9));
+    });
+}
--- /dev/null
+++ b/crates/standin/tests/all/memory.rs
@@ -0,0 +1,69 @@
+//! The store as plain data.
+
+use std::collections::BTreeMap;
+
+use briarshift_platform::{Error, Expect, Key, Lease, LeaseId, Operation, Reply, Version};
+use briarshift_standin::store::{MAX_VALUE, Memory};
+use briarshift_units::{Moment, Span};
+use proptest::prelude::*;
+
+const TTL: Span = Span(10);
+
+fn key(number: u8) -> Key {
+    Key::from(format!("k/{number}"))
+}
+
+fn put(number: u8, expect: Expect, lease: Option<LeaseId>) -> Operation {
+    Operation::Put { key: key(number), value: "v".into(), expect, lease }
+}
+
+#[test]
+fn a_lease_takes_its_keys_along() {
+    let mut memory = Memory::default();
+    let lease = LeaseId(1);
+    let granted = memory.execute(Moment(0), Operation::Grant { ttl: TTL });
+    assert_eq!(granted, Ok(Reply::Leased(Lease { id: lease, ttl: TTL })));
+    memory.execute(Moment(0), put(1, Expect::Absent, Some(lease))).unwrap();
+    memory.execute(Moment(9), Operation::Renew { lease }).unwrap();
+    let get = || Operation::Get { key: key(1) };
+    assert!(matches!(memory.execute(Moment(18), get()), Ok(Reply::Value(Some(_)))));
+    assert_eq!(memory.execute(Moment(19), get()), Ok(Reply::Value(None)));
+    assert_eq!(memory.execute(Moment(19), Operation::Renew { lease }), Err(Error::LeaseEnded));
+    let granted = memory.execute(Moment(19), Operation::Grant { ttl: TTL });
+    assert_eq!(granted, Ok(Reply::Leased(Lease { id: LeaseId(2), ttl: TTL })));
+}
+
+#[test]
+fn a_value_above_the_limit_is_refused() {
+    let mut memory = Memory::default();
+    let value = "x".repeat(MAX_VALUE + 1);
+    let put = Operation::Put { key: key(1), value, expect: Expect::Any, lease: None };
+    assert!(matches!(memory.execute(Moment(0), put), Err(Error::Refused(_))));
+}
+
+proptest! {
+    /// Of writers that expect the same version exactly one succeeds, and
+    /// versions only grow.
+    #[test]
+    fn compare_and_swap(writes in prop::collection::vec((0..3_u8, 0..12_u64), 1..60)) {
+        let mut memory = Memory::default();
+        let mut known: BTreeMap<u8, Version> = BTreeMap::new();
+        let mut newest = Version(0);
+        for (number, guess) in writes {
+            let current = known.get(&number).copied().unwrap_or_default();
+            let expect = match guess {
+                0 => Expect::Absent,
+                guess => Expect::Version(Version(guess)),
+            };
+            let result = memory.execute(Moment(0), put(number, expect, None));
+            if Version(guess) == current {
+                let Ok(Reply::Written(version)) = result else { panic!("{result:?}") };
+                prop_assert!(newest < version);
+                newest = version;
+                known.insert(number, version);
+            } else {
+                prop_assert_eq!(result, Err(Error::Conflict(current)));
+            }
+        }
+    }
+}
--- a/crates/target/src/http.rs
+++ b/crates/target/src/http.rs
@@ -4,14 +4,15 @@
 use std::time::Duration;
 
 use actix_web::http::Method as HttpMethod;
-use awc::error::SendRequestError;
+use awc::error::{ConnectError, SendRequestError};
 use briarshift_units::Span;
 use futures::future::{FutureExt, LocalBoxFuture};
-use futures::stream::StreamExt;
+use futures::stream::{self, StreamExt};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
+use smol_str::{SmolStr, format_smolstr};
 
-use crate::{Answer, Attempt, Call, Change, Failure, Order, Outcome, Report, Target};
+use crate::{Answer, Attempt, Body, Call, Change, Failure, Order, Outcome, Report, Target};
 
 /// The header that carries an [`Attempt`] both ways.
 pub const REQUEST_ID: &str = "X-Request-Id";
@@ -45,6 +46,7 @@
     async fn open(&self, address: SocketAddr, call: Call) -> Result<Answer, Failure> {
         let method = HttpMethod::from_bytes(call.method.0.as_bytes())
             .map_err(|err| Failure::NotSent(err.to_string().into()))?;
+        let has_body = method != HttpMethod::HEAD;
         let url = format!("http://{address}{}", call.path);
         let mut request = self
             .http
@@ -65,11 +67,13 @@
         let status = response.status().as_u16();
         let content_type = header("content-type");
         let echo = header(REQUEST_ID);
+        let length = header("content-length").and_then(|text: SmolStr| text.parse().ok());
         // awc applies its timeout to body reads too; a stream may last longer.
         let body = response
             .timeout(Duration::MAX / 4)
             .map(|chunk| chunk.map_err(|err| Failure::Broken(err.to_string().into())))
             .boxed_local();
+        let body = counted(body, length.filter(|_| has_body));
         Ok(Answer { status, content_type, echo, body })
     }
 
@@ -95,8 +99,33 @@
     }
 }
 
+/// Fails a body that ends before its stated length: awc takes a connection
+/// closed in the middle of a body for its end. A chunked body has no stated
+/// length, so its reader must look for an end marker.
+fn counted(body: Body, length: Option<u64>) -> Body {
+    let Some(length) = length else { return body };
+    let short = |missing: u64| Failure::Broken(format_smolstr!("{missing} bytes are missing"));
+    stream::unfold((body, length), move |(mut body, missing)| async move {
+        match body.next().await {
+            Some(Ok(chunk)) => {
+                let missing = missing.saturating_sub(chunk.len() as u64);
+                Some((Ok(chunk), (body, missing)))
+            }
+            Some(Err(err)) => Some((Err(err), (body, 0))),
+            None if missing == 0 => None,
+            None => Some((Err(short(missing)), (body, 0))),
+        }
+    })
+    .boxed_local()
+}
+
+/// Only a connection that was never made carried nothing. awc reports one that
+/// closed before the answer's head as a failed connect too (`Disconnected`).
 fn failure(err: &SendRequestError) -> Failure {
     match err {
+        SendRequestError::Connect(ConnectError::Disconnected) => {
+            Failure::Broken("the connection closed before the answer".into())
+        }
         SendRequestError::Connect(err) => Failure::NotSent(err.to_string().into()),
         SendRequestError::Timeout => Failure::Timeout,
         err => Failure::Broken(err.to_string().into()),
