--- a/crates/control/src/request/event.rs
+++ b/crates/control/src/request/event.rs
@@ -4,7 +4,7 @@
 
 use briarshift_settings::Call;
 use briarshift_target::{Attempt, Failure};
-use briarshift_units::{ChatKey, Digest, RequestId, TargetId};
+use briarshift_units::{ChatKey, Digest, Moment, RequestId, TargetId};
 use smol_str::SmolStr;
 
 use super::{Refusal, Tokens};
@@ -33,7 +33,7 @@
     pub request: RequestId,
     /// SHA-256 of the bearer key, if one was sent.
     pub credential: Option<Digest>,
-    /// SHA-256 of the body.
+    /// [`super::digest`] of the call and its body.
     pub body: Digest,
     /// What is wanted.
     pub work: Work,
@@ -75,6 +75,15 @@
     },
     /// The target refused it unrun (HTTP 429 or 503 with `Retry-After`).
     Refused,
+    /// Its stream broke off, and may be resumed.
+    Cut {
+        /// Why.
+        failure: Failure,
+        /// Number of the last whole event read, 0 if there was none.
+        last_id: u64,
+        /// Whether any of the answer has reached the caller.
+        relayed: bool,
+    },
     /// It failed.
     Failed {
         /// Why.
@@ -89,6 +98,9 @@
 pub enum Decision {
     /// Send it.
     Send(Send),
+    /// Resume its broken stream where it runs, and go on relaying. A resume
+    /// that fails ends the attempt with [`End::Cut`] or [`End::Failed`].
+    Resume(Resume),
     /// Answer with the outcome of an earlier run.
     Replay(booking::Outcome),
     /// Refuse it, or break off an answer that has begun.
@@ -112,4 +124,18 @@
     pub overnight: bool,
     /// The answer must be read whole before it is passed on: a booking.
     pub whole: bool,
+    /// It must not be sent after this moment, but ended with
+    /// [`Failure::NotSent`]: the claim it relies on is too old.
+    pub before: Option<Moment>,
+}
+
+/// A broken stream to resume.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Resume {
+    /// The attempt whose stream it is.
+    pub id: Attempt,
+    /// Where its engine listens.
+    pub address: SocketAddr,
+    /// The last event that arrived.
+    pub after: u64,
 }
--- a/crates/control/src/request/refusal.rs
+++ b/crates/control/src/request/refusal.rs
@@ -8,7 +8,8 @@
 /// Whether a refused request has run.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub enum Outcome {
-    /// No byte of it can have reached a target.
+    /// This send was not run and will not be. It says nothing of earlier sends
+    /// with the same `Idempotency-Key`.
     NotRun,
     /// It may have run.
     Unknown,
@@ -67,6 +68,11 @@
     /// The request crashes targets.
     #[error("this request crashed the targets that ran it: change it before sending it again")]
     Poison,
+    /// A target died under the request, and no trial was granted in time.
+    #[error(
+        "a target died while it ran this request, it waits for a trial: wait as long as Retry-After says"
+    )]
+    Suspect,
     /// The claim could not be made.
     #[error("the platform's service is out of reach, so no booking can be made: try again later")]
     NoClaim,
@@ -75,6 +81,9 @@
         "an earlier send of this booking may have run, its outcome is not known: check at the desk"
     )]
     Unsettled,
+    /// The booking ran, its answer was not kept.
+    #[error("this booking ran, its answer was too long to be kept: look at the desk")]
+    AnswerLost,
     /// The target failed.
     #[error("the target failed ({0}): send the request again if it may be repeated")]
     Target(SmolStr),
@@ -96,6 +105,8 @@
             Self::Full => "no_place",
             Self::NoTarget => "no_target",
             Self::Poison => "poison",
+            Self::Suspect => "suspect",
+            Self::AnswerLost => "booking_answer_lost",
             Self::NoClaim => "platform_unavailable",
             Self::Unsettled => "booking_unsettled",
             Self::Target(_) => "target_failed",
@@ -109,10 +120,10 @@
             Self::UnknownModel(_) | Self::UnknownDesk(_) => 404,
             Self::KeyMissing | Self::KeyInvalid(_) => 400,
             Self::KeyReused | Self::Poison => 422,
-            Self::Unsettled => 409,
+            Self::Unsettled | Self::AnswerLost => 409,
             Self::Limit | Self::Full => 429,
             Self::Target(_) => 502,
-            Self::NotReady | Self::Draining | Self::NoTarget | Self::NoClaim => 503,
+            Self::NotReady | Self::Draining | Self::NoTarget | Self::Suspect | Self::NoClaim => 503,
         }
     }
 }
--- a/crates/control/src/request/state.rs
+++ b/crates/control/src/request/state.rs
@@ -1,24 +1,24 @@
-//! Requests in flight on this VM.
+//! Requests in flight on this VM, up to the send of an attempt.
 
 use std::collections::BTreeMap;
 
+use briarshift_routing::retry::Budget;
 use briarshift_routing::token::Token;
-use briarshift_settings::{Account, Document, Kind, Pool, Priority};
-use briarshift_target::{Attempt, Failure};
-use briarshift_units::{
-    AccountId, BookingKey, ChatKey, Digest, Fingerprint, ModelId, Moment, OwnerId, PoolId,
-    RequestId, Span, Start, TargetId,
-};
-use briarshift_wire::place::{Ask, Denial};
-use smol_str::SmolStr;
+use briarshift_settings::{Document, Priority};
+use briarshift_units::{Fingerprint, PoolId, RequestId, Span};
+use briarshift_wire::place::Denial;
 
-use super::{Arrival, Decision, End, Event, Outcome, Reason, Refusal, Send, Tokens, Work};
-use crate::{Context, Effect, Output, Record, Signal, booking, place, poison, target, usage};
+use super::life::{Flavour, Request, Suspicion};
+use super::resolve::{authenticate, fingerprint, resolve};
+use super::{Arrival, Decision, Event, Outcome, Reason, Refusal, Send};
+use crate::poison::Standing;
+use crate::{Context, Effect, Output, Record, Signal, booking, place, poison, target};
 
-/// Attempts at one request, the first included.
-const MAX_ATTEMPTS: u32 = 3;
 /// `Retry-After` of refusals that pass soon.
 const RETRY_AFTER: Span = Span::from_secs(1);
+/// How old a claim may be when its booking is sent. A VM that was paused in
+/// between sends nothing that its caller has long given up.
+const CLAIM_LIFE: Span = Span::from_secs(15);
 
 /// What a request looks at.
 #[derive(Clone, Copy)]
@@ -31,35 +31,11 @@
     pub poison: &'a poison::State,
 }
 
-#[derive(Debug, Clone, PartialEq, Eq)]
-enum Flavour {
-    Chat { chat: ChatKey, held_on: Option<(TargetId, Start)>, model: SmolStr },
-    Repeatable,
-    Booking(BookingKey),
-}
-
-#[derive(Debug)]
-struct Request {
-    account: AccountId,
-    owner: OwnerId,
-    pool: PoolId,
-    flavour: Flavour,
-    fingerprint: Fingerprint,
-    body: Digest,
-    overnight: bool,
-    arrived: Moment,
-    placed: Option<Moment>,
-    attempt: u32,
-    target: Option<TargetId>,
-    avoid: Vec<TargetId>,
-    claimed: bool,
-    may_have_run: bool,
-}
-
 /// Requests in flight on this VM.
 #[derive(Debug, Default)]
 pub struct State {
-    requests: BTreeMap<RequestId, Request>,
+    pub(super) requests: BTreeMap<RequestId, Request>,
+    pub(super) budgets: BTreeMap<PoolId, Budget>,
     draining: bool,
 }
 
@@ -88,7 +64,7 @@
     pub fn apply(&mut self, ctx: &Context<'_>, view: View<'_>, event: Event, out: &mut Output) {
         match event {
             Event::Arrived(arrival) => self.arrive(ctx, view, &arrival, out),
-            Event::Ended { id, end } => self.end(ctx, id, end, out),
+            Event::Ended { id, end } => self.end(ctx, view, id, end, out),
             Event::Gone(request) => self.gone(request, out),
         }
     }
@@ -110,28 +86,23 @@
             Ok(target) => {
                 request.target = Some(target);
                 request.placed.get_or_insert(ctx.at);
+                let unclaimed = request.claimed.is_none();
+                match request.booking().filter(|_| unclaimed) {
+                    Some(booking) => {
+                        request.claimed = Some(ctx.at);
+                        out.signal(Signal::Claim(booking));
+                    }
+                    None => self.send(ctx, view, id, out),
+                }
             }
             Err(denial) => {
                 let reason = match denial {
                     Denial::Empty => Reason::NoTarget,
                     Denial::Full | Denial::NotAdmitting => Reason::Full,
                 };
-                self.give_up(id, reason, out);
-                return;
+                self.deny(id, reason, out);
             }
         }
-        match &request.flavour {
-            Flavour::Booking(key) if !request.claimed => {
-                out.signal(Signal::Claim(booking::Booking {
-                    request: id,
-                    account: request.account.clone(),
-                    pool: request.pool.clone(),
-                    key: key.clone(),
-                    body: request.body,
-                }));
-            }
-            _ => self.send(ctx, view, id, out),
-        }
     }
 
     /// Takes what became of a booking's claim.
@@ -149,38 +120,88 @@
             }
             return;
         };
+        if verdict.claim == booking::Answer::Claimed {
+            self.send(ctx, view, id, out);
+            return;
+        }
+        request.claimed = None;
         match verdict.claim {
-            booking::Answer::Claimed => {
-                request.claimed = true;
-                self.send(ctx, view, id, out);
-            }
+            booking::Answer::Claimed => {}
+            // It will not run here, so another may have the place.
+            booking::Answer::Waiting => release(request, out),
             booking::Answer::Settled(outcome) => {
-                self.requests.remove(&id);
-                out.signal(Signal::Release(id));
+                self.leave(id, out);
+                out.log(Record::new("replayed").with("request", id));
                 let decision = Decision::Replay(outcome);
                 out.push(Effect::Decide { request: id, decision });
             }
+            booking::Answer::Ran => {
+                self.leave(id, out);
+                refuse(id, Reason::AnswerLost, Outcome::Ran, out);
+            }
             booking::Answer::Unsettled => {
                 request.may_have_run = true;
                 self.give_up(id, Reason::Unsettled, out);
             }
             booking::Answer::Reused => self.give_up(id, Reason::KeyReused, out),
             booking::Answer::Unavailable => self.give_up(id, Reason::NoClaim, out),
+            booking::Answer::Absent => {
+                let reason = request.denied.take().unwrap_or(Reason::Full);
+                self.give_up(id, reason, out);
+            }
+        }
+    }
+
+    /// Takes where a suspect request may run, if anywhere.
+    pub fn tried(&mut self, view: View<'_>, verdict: poison::Verdict, out: &mut Output) {
+        let id = verdict.request;
+        let Some(request) = self.requests.get_mut(&id) else {
+            out.signal(Signal::Over(id));
+            return;
+        };
+        match verdict.target {
+            Ok(target) => {
+                let budget = self.budgets.entry(request.pool.clone()).or_default();
+                if let Some(reason) = request.denied.take().filter(|_| !budget.take()) {
+                    self.give_up(id, reason, out);
+                    return;
+                }
+                let pool = view.targets.all().filter(|row| row.pool == request.pool);
+                let others = pool.filter(|row| row.id != target);
+                request.avoid = others.map(|row| row.id.clone()).collect();
+                request.suspicion = Suspicion::Tried(target);
+                out.signal(Signal::Ask(request.ask()));
+            }
+            Err(poison::Denial::Refused) => self.deny(id, Reason::Poison, out),
+            Err(poison::Denial::Late) => self.deny(id, Reason::Suspect, out),
+        }
+    }
+
+    /// A fingerprint has a new strike: copies that run already count as its
+    /// trials.
+    pub fn struck(&mut self, fingerprint: Fingerprint, out: &mut Output) {
+        let copies = self.requests.values_mut().filter(|row| row.fingerprint == fingerprint);
+        for request in copies.filter(|request| request.suspicion == Suspicion::Clean) {
+            let Some(target) = request.target.clone().filter(|_| request.sent.is_some()) else {
+                continue;
+            };
+            request.suspicion = Suspicion::Tried(target.clone());
+            out.signal(Signal::Try(request.trial(Some(target))));
         }
     }
 
     fn arrive(&mut self, ctx: &Context<'_>, view: View<'_>, arrival: &Arrival, out: &mut Output) {
         match self.check(ctx, view, arrival) {
             Ok(request) => {
-                out.signal(Signal::Ask(ask(arrival.request, &request)));
                 self.requests.insert(arrival.request, request);
+                self.start(ctx, view, arrival.request, out);
             }
             Err(reason) => refuse(arrival.request, reason, Outcome::NotRun, out),
         }
     }
 
     fn check(
-        &self,
+        &mut self,
         ctx: &Context<'_>,
         view: View<'_>,
         arrival: &Arrival,
@@ -190,37 +211,70 @@
         }
         let document = view.document.ok_or(Reason::NotReady)?;
         let account = authenticate(document, arrival.credential)?;
-        let (pool, flavour) = resolve(ctx, document, account, &arrival.work)?;
-        let fingerprint = fingerprint(&account.id, arrival.body);
-        if view.poison.refused(ctx, fingerprint) {
-            return Err(Reason::Poison);
-        }
+        let resolved = resolve(ctx, document, account, &arrival.work)?;
+        let pool = resolved.pool;
+        self.budgets.entry(pool.id.clone()).or_default().earn(pool.retry_share);
         Ok(Request {
+            id: arrival.request,
             account: account.id.clone(),
             owner: account.owner.clone(),
             pool: pool.id.clone(),
-            flavour,
-            fingerprint,
+            flavour: resolved.flavour,
+            fingerprint: fingerprint(&account.id, arrival.body),
             body: arrival.body,
             overnight: account.priority == Priority::Overnight,
+            limit: resolved.limit,
             arrived: ctx.at,
             placed: None,
             attempt: 0,
             target: None,
+            sent: None,
             avoid: Vec::new(),
-            claimed: false,
+            suspicion: Suspicion::Clean,
+            claimed: None,
+            denied: None,
             may_have_run: false,
+            resumes: 0,
+            detached: false,
         })
     }
 
+    /// Asks for a place; for a suspect request, for a trial first.
+    pub(super) fn start(
+        &mut self,
+        ctx: &Context<'_>,
+        view: View<'_>,
+        id: RequestId,
+        out: &mut Output,
+    ) {
+        let Some(request) = self.requests.get_mut(&id) else { return };
+        match view.poison.standing(ctx, request.fingerprint) {
+            Standing::Clean => out.signal(Signal::Ask(request.ask())),
+            Standing::Suspect => want_trial(request, out),
+            Standing::Refused => self.deny(id, Reason::Poison, out),
+        }
+    }
+
     fn send(&mut self, ctx: &Context<'_>, view: View<'_>, id: RequestId, out: &mut Output) {
         let Some(request) = self.requests.get_mut(&id) else { return };
+        if request.claimed.is_some_and(|at| CLAIM_LIFE < ctx.at.since(at)) {
+            self.give_up(id, Reason::NoClaim, out);
+            return;
+        }
+        let clean = view.poison.standing(ctx, request.fingerprint) == Standing::Clean;
+        if !clean && request.suspicion == Suspicion::Clean {
+            release(request, out);
+            self.start(ctx, view, id, out);
+            return;
+        }
         let target = request.target.as_ref().and_then(|target| view.targets.get(target));
         let Some(target) = target else {
             self.give_up(id, Reason::NoTarget, out);
             return;
         };
         request.attempt += 1;
+        request.sent = Some(ctx.at);
+        request.resumes = 0;
         let chat = match &request.flavour {
             Flavour::Chat { chat, .. } => Some(*chat),
             _ => None,
@@ -233,190 +287,70 @@
         let line = line.with("pool", &request.pool).with("target", &target.id);
         out.log(line.with("attempt", request.attempt));
         let send = Send {
-            id: Attempt { request: id, number: request.attempt },
+            id: request.attempt(),
             target: target.id.clone(),
             address: target.address,
             chat,
             token,
             overnight: request.overnight,
-            whole: matches!(request.flavour, Flavour::Booking(_)),
+            whole: request.is_booking(),
+            before: request.claimed.map(|at| at + CLAIM_LIFE),
         };
         out.signal(Signal::Sent(request.pool.clone()));
         out.push(Effect::Decide { request: id, decision: Decision::Send(send) });
     }
 
-    fn end(&mut self, ctx: &Context<'_>, id: Attempt, end: End, out: &mut Output) {
-        let Some(request) = self.requests.get(&id.request) else { return };
-        if request.attempt != id.number {
-            return;
-        }
-        match end {
-            End::Whole { tokens, outcome } => self.whole(ctx, id.request, tokens, outcome, out),
-            End::Refused => self.again(id.request, "refused", out),
-            End::Failed { failure, relayed } => self.failed(id.request, &failure, relayed, out),
-        }
-    }
-
-    fn whole(
-        &mut self,
-        ctx: &Context<'_>,
-        id: RequestId,
-        tokens: Tokens,
-        outcome: Option<booking::Outcome>,
-        out: &mut Output,
-    ) {
-        let Some(request) = self.requests.remove(&id) else { return };
-        out.signal(Signal::Release(id));
-        out.signal(Signal::Clear(request.fingerprint));
-        let booked = outcome.is_some();
-        if let Some(outcome) = outcome {
-            out.signal(Signal::Settle(id, outcome));
-        }
-        let model = match request.flavour {
-            Flavour::Chat { model, .. } => Some(model),
-            _ => None,
-        };
-        let queued = request.placed.unwrap_or(ctx.at).since(request.arrived);
-        let line = Record::new("answered").with("request", id).with("account", &request.account);
-        out.log(line.with("attempt", request.attempt).with("queued", queued));
-        out.signal(Signal::Use(usage::Sample {
-            owner: request.owner,
-            account: request.account,
-            pool: request.pool,
-            model,
-            tokens,
-            queued,
-            booked,
-            refused: false,
-        }));
-    }
-
-    fn failed(&mut self, id: RequestId, failure: &Failure, relayed: bool, out: &mut Output) {
+    /// Refuses a request that was not sent. A booking's key is looked up
+    /// before: its outcome may be there, and "not run" must not be said of a
+    /// resend whose first send may have run.
+    pub(super) fn deny(&mut self, id: RequestId, reason: Reason, out: &mut Output) {
         let Some(request) = self.requests.get_mut(&id) else { return };
-        let sent = !matches!(failure, Failure::NotSent(_));
-        if let Some(target) = &request.target {
-            if matches!(failure, Failure::NotSent(_) | Failure::Broken(_)) {
-                out.signal(Signal::Suspect(target.clone()));
-            }
-            if matches!(failure, Failure::Broken(_)) {
-                out.signal(Signal::Strike(request.fingerprint, target.clone()));
-            }
-        }
-        request.may_have_run |= sent;
-        let repeatable = !matches!(request.flavour, Flavour::Booking(_));
-        if relayed || (sent && !repeatable) {
-            let reason = Reason::Target(failure.to_string().into());
+        let unclaimed = request.claimed.is_none() && !request.may_have_run;
+        let Some(booking) = request.booking().filter(|_| unclaimed) else {
             self.give_up(id, reason, out);
             return;
-        }
-        self.again(id, &failure.to_string(), out);
-    }
-
-    fn again(&mut self, id: RequestId, why: &str, out: &mut Output) {
-        let Some(request) = self.requests.get_mut(&id) else { return };
-        if MAX_ATTEMPTS <= request.attempt {
-            self.give_up(id, Reason::Target(why.into()), out);
-            return;
-        }
-        out.log(Record::new("retry").with("request", id).with("why", why));
-        request.avoid.extend(request.target.take());
-        out.signal(Signal::Release(id));
-        out.signal(Signal::Ask(ask(id, request)));
+        };
+        request.denied = Some(reason);
+        release(request, out);
+        out.signal(Signal::Look(booking));
     }
 
-    fn give_up(&mut self, id: RequestId, reason: Reason, out: &mut Output) {
-        let Some(request) = self.requests.remove(&id) else { return };
-        out.signal(Signal::Release(id));
-        if request.claimed && !request.may_have_run {
+    pub(super) fn give_up(&mut self, id: RequestId, reason: Reason, out: &mut Output) {
+        let Some(request) = self.leave(id, out) else { return };
+        if request.claimed.is_some() && !request.may_have_run {
             out.signal(Signal::Unclaim(id));
         }
         let outcome = if request.may_have_run { Outcome::Unknown } else { Outcome::NotRun };
         refuse(id, reason, outcome, out);
     }
 
-    fn gone(&mut self, id: RequestId, out: &mut Output) {
-        let Some(request) = self.requests.remove(&id) else { return };
-        out.log(Record::new("caller_gone").with("request", id));
-        out.signal(Signal::Release(id));
-        if let Some(target) = request.target.filter(|_| 0 < request.attempt) {
-            let attempt = Attempt { request: id, number: request.attempt };
-            out.signal(Signal::Cancel(target, attempt));
-        }
+    /// Takes a request out, with all that it holds.
+    pub(super) fn leave(&mut self, id: RequestId, out: &mut Output) -> Option<Request> {
+        let mut request = self.requests.remove(&id)?;
+        release(&mut request, out);
+        Some(request)
     }
 }
 
-fn refuse(request: RequestId, reason: Reason, outcome: Outcome, out: &mut Output) {
-    let line = Record::new("refused").with("request", request).with("code", reason.code());
-    out.log(line.with("outcome", outcome));
-    let retry_after = matches!(reason.status(), 429 | 503).then_some(RETRY_AFTER);
-    let decision = Decision::Refuse(Refusal { reason, outcome, retry_after });
-    out.push(Effect::Decide { request, decision });
-}
-
-fn ask(id: RequestId, request: &Request) -> Ask {
-    let (chat, held_on) = match &request.flavour {
-        Flavour::Chat { chat, held_on, .. } => (*chat, held_on.clone()),
-        _ => (ChatKey(id.0), None),
-    };
-    Ask {
-        request: id,
-        pool: request.pool.clone(),
-        account: request.account.clone(),
-        chat,
-        held_on,
-        overnight: request.overnight,
-        avoid: request.avoid.clone(),
+/// Gives back a request's place and trial.
+pub(super) fn release(request: &mut Request, out: &mut Output) {
+    request.target = None;
+    request.sent = None;
+    out.signal(Signal::Release(request.id));
+    if std::mem::replace(&mut request.suspicion, Suspicion::Clean) != Suspicion::Clean {
+        out.signal(Signal::Over(request.id));
     }
 }
 
-fn authenticate(document: &Document, credential: Option<Digest>) -> Result<&Account, Reason> {
-    let digest = credential.ok_or(Reason::Unauthenticated)?.to_string();
-    let mut accounts = document.accounts.iter();
-    accounts.find(|account| account.key_sha256 == digest).ok_or(Reason::Unauthenticated)
+pub(super) fn want_trial(request: &mut Request, out: &mut Output) {
+    request.suspicion = Suspicion::Waiting;
+    out.signal(Signal::Try(request.trial(None)));
 }
 
-fn resolve<'a>(
-    ctx: &Context<'_>,
-    document: &'a Document,
-    account: &Account,
-    work: &Work,
-) -> Result<(&'a Pool, Flavour), Reason> {
-    match work {
-        Work::Chat { model, token, chat } => {
-            let unknown = || Reason::UnknownModel(model.clone());
-            let id: ModelId = model.parse().map_err(|_| unknown())?;
-            let row = document.models.iter().find(|row| row.id == id).ok_or_else(unknown)?;
-            let mut pools = document.pools.iter();
-            let pool = pools.find(|pool| pool.id == row.pool).ok_or_else(unknown)?;
-            let token = token.as_deref();
-            let token = token.and_then(|text| Token::open(text, &ctx.me.token_key, &account.id));
-            let (chat, held_on) = match token {
-                Some(token) => (token.chat, Some((token.target, token.start))),
-                None => (*chat, None),
-            };
-            Ok((pool, Flavour::Chat { chat, held_on, model: model.clone() }))
-        }
-        Work::Desk { pool, call, key } => {
-            let unknown = || Reason::UnknownDesk(pool.clone());
-            let mut pools = document.pools.iter();
-            let row = pools.find(|row| row.id.as_str() == pool).ok_or_else(unknown)?;
-            let Kind::Runner(runner) = &row.kind else { return Err(unknown()) };
-            if runner.repeatable.contains(call) {
-                return Ok((row, Flavour::Repeatable));
-            }
-            let key = key.as_ref().ok_or(Reason::KeyMissing)?;
-            let key = key.parse().map_err(|err: briarshift_units::IdError| {
-                Reason::KeyInvalid(err.to_string().into())
-            })?;
-            Ok((row, Flavour::Booking(key)))
-        }
-    }
-}
-
-fn fingerprint(account: &AccountId, body: Digest) -> Fingerprint {
-    use sha2::{Digest as _, Sha256};
-    let hash = Sha256::new().chain_update(account.as_str()).chain_update(body.0).finalize();
-    let mut bytes = [0; 8];
-    bytes.copy_from_slice(&hash[..8]);
-    Fingerprint(u64::from_be_bytes(bytes))
+fn refuse(request: RequestId, reason: Reason, outcome: Outcome, out: &mut Output) {
+    let line = Record::new("refused").with("request", request).with("code", reason.code());
+    out.log(line.with("outcome", outcome));
+    let retry_after = matches!(reason.status(), 409 | 429 | 503).then_some(RETRY_AFTER);
+    let decision = Decision::Refuse(Refusal { reason, outcome, retry_after });
+    out.push(Effect::Decide { request, decision });
 }
--- a/crates/control/src/signal.rs
+++ b/crates/control/src/signal.rs
@@ -3,8 +3,9 @@
 use briarshift_target::Attempt;
 use briarshift_units::{Fingerprint, PoolId, RequestId, TargetId};
 use briarshift_wire::place::Ask;
+use briarshift_wire::poison::Trial;
 
-use crate::{booking, place, usage};
+use crate::{booking, place, poison, usage};
 
 /// Sent by one concern, carried to another by [`crate::State`] before the
 /// next event.
@@ -18,6 +19,8 @@
     Release(RequestId),
     /// A booking needs its claim before it is sent.
     Claim(booking::Booking),
+    /// A booking is refused before it was claimed: was it claimed before?
+    Look(booking::Booking),
     /// What became of the claim.
     Claimed(booking::Verdict),
     /// A claimed booking was answered.
@@ -30,6 +33,14 @@
     Strike(Fingerprint, TargetId),
     /// A request ended well.
     Clear(Fingerprint),
+    /// A fingerprint has a new strike, from this VM or a peer.
+    Struck(Fingerprint),
+    /// A suspect request wants to run, or runs.
+    Try(Trial),
+    /// Whether and where a suspect request may run.
+    Tried(poison::Verdict),
+    /// A suspect request has ended, or wants to run no longer.
+    Over(RequestId),
     /// The caller of a running attempt is gone.
     Cancel(TargetId, Attempt),
     /// Something to be counted.
--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -93,7 +93,8 @@
                 self.signal(&ctx, signal, &mut out);
             }
         }
-        if self.requests.is_draining() && self.requests.is_empty() && !self.drained {
+        let idle = self.requests.is_empty() && self.bookings.unsettled() == 0;
+        if self.requests.is_draining() && idle && !self.drained {
             self.drained = true;
             out.push(Effect::Drained);
         }
@@ -112,7 +113,9 @@
                     places.peer(ctx, view, &from, message, out);
                 }),
                 Message::Document(_) => {}
-                Message::Poison(message) => self.poison.peer(ctx, &from, message, out),
+                Message::Poison(message) => self.with_poison(|poison, view| {
+                    poison.peer(ctx, view, &from, message, out);
+                }),
             },
             Kind::Store { ticket, result } => match ticket {
                 Ticket::Document => self.document.store(ctx, result, out),
@@ -137,6 +140,9 @@
         self.members.tick(ctx, out);
         self.targets.tick(ctx, out);
         self.with_places(|places, view| places.tick(ctx, view, out));
+        self.with_requests(|requests, view| requests.tick(ctx, view, out));
+        self.bookings.tick(ctx, out);
+        self.with_poison(|poison, view| poison.tick(ctx, view, out));
         self.orders.tick(ctx, out);
         self.usage.tick(ctx, out);
     }
@@ -155,12 +161,23 @@
                 requests.claimed(ctx, view, verdict, out);
             }),
             Signal::Settle(id, outcome) => self.bookings.settle(ctx, id, outcome, out),
-            Signal::Unclaim(id) => self.bookings.unclaim(id, out),
+            Signal::Look(booking) => self.bookings.look(ctx, booking, out),
+            Signal::Unclaim(id) => self.bookings.unclaim(ctx, id, out),
             Signal::Suspect(target) => self.targets.suspect(&target),
-            Signal::Strike(fingerprint, target) => {
-                self.poison.strike(ctx, fingerprint, &target, out);
-            }
-            Signal::Clear(fingerprint) => self.poison.clear(ctx, fingerprint, out),
+            Signal::Strike(fingerprint, target) => self.with_poison(|poison, view| {
+                poison.strike(ctx, view, fingerprint, &target, out);
+            }),
+            Signal::Clear(fingerprint) => self.with_poison(|poison, view| {
+                poison.clear(view, fingerprint, out);
+            }),
+            Signal::Struck(fingerprint) => self.requests.struck(fingerprint, out),
+            Signal::Try(trial) => self.with_poison(|poison, view| {
+                poison.attempt(ctx, view, trial, out);
+            }),
+            Signal::Tried(verdict) => self.with_requests(|requests, view| {
+                requests.tried(view, verdict, out);
+            }),
+            Signal::Over(id) => self.with_poison(|poison, view| poison.over(ctx, view, id, out)),
             Signal::Cancel(target, id) => {
                 if let Some(target) = self.targets.get(&target) {
                     out.push(Effect::Cancel { address: target.address, id });
@@ -180,6 +197,11 @@
         apply(&mut self.requests, view);
     }
 
+    fn with_poison(&mut self, apply: impl FnOnce(&mut poison::State, poison::View<'_>)) {
+        let view = poison::View { targets: &self.targets, members: &self.members };
+        apply(&mut self.poison, view);
+    }
+
     fn with_places(&mut self, apply: impl FnOnce(&mut place::State, place::View<'_>)) {
         let Some(document) = self.document.current() else { return };
         let view = place::View { targets: &self.targets, members: &self.members, document };
--- /dev/null
+++ b/crates/control/tests/all/booking.rs
@@ -0,0 +1,249 @@
+//! Bookings run at most once, and "not run" is true.
+
+use std::collections::BTreeMap;
+
+use briarshift_control::request::{Outcome, Reason};
+use briarshift_units::{RequestId, Span};
+use proptest::prelude::{Strategy, any, prop, prop_assert, prop_assert_eq, prop_oneof, proptest};
+
+use crate::world::{Faults, Told, World, booking, desk};
+
+const VMS: usize = 3;
+
+/// One thing that happens, some milliseconds after the one before.
+#[derive(Debug, Clone)]
+enum Action {
+    Send { vm: usize, account: usize, key: u8 },
+    Vanish,
+    Kill(usize),
+    Start(usize),
+    Freeze(usize, u64),
+    Outage(u64),
+}
+
+fn action() -> impl Strategy<Value = Action> {
+    prop_oneof![
+        10 => (0..VMS, 0..2_usize, 0..3_u8)
+            .prop_map(|(vm, account, key)| Action::Send { vm, account, key }),
+        1 => any::<bool>().prop_map(|_| Action::Vanish),
+        1 => (0..VMS).prop_map(Action::Kill),
+        2 => (0..VMS).prop_map(Action::Start),
+        1 => (0..VMS, 1..40_000_u64).prop_map(|(vm, millis)| Action::Freeze(vm, millis)),
+        1 => (1..10_000_u64).prop_map(Action::Outage),
+    ]
+}
+
+fn script() -> impl Strategy<Value = Vec<(u64, Action)>> {
+    let pause = prop_oneof![3 => 0..20_u64, 2 => 20..400_u64, 1 => 400..5_000_u64];
+    prop::collection::vec((pause, action()), 1..25)
+}
+
+fn faults() -> impl Strategy<Value = Faults> {
+    (0..30_u64, 0..20_u64, 0..20_u64, 0..30_u64).prop_map(|(lost, late, refused, broken)| Faults {
+        lost,
+        late,
+        refused,
+        broken,
+    })
+}
+
+/// Runs a script and returns each request's VM, account and key.
+fn play(world: &mut World, script: &[(u64, Action)]) -> BTreeMap<u64, (usize, usize, u8)> {
+    let mut sent = BTreeMap::new();
+    for (request, (pause, action)) in script.iter().enumerate() {
+        world.run(*pause);
+        let request = request as u64;
+        match *action {
+            Action::Send { vm, account, key } => {
+                sent.insert(request, (vm, account, key));
+                world.send(vm, booking(request, account, &format!("k-{key}"), "body"));
+            }
+            Action::Vanish => {
+                if let Some((request, (vm, ..))) = sent.last_key_value() {
+                    world.vanish(*vm, RequestId(*request));
+                }
+            }
+            Action::Kill(vm) => world.kill(vm),
+            Action::Start(vm) => world.start(vm),
+            Action::Freeze(vm, millis) => world.freeze(vm, Span::from_millis(millis)),
+            Action::Outage(millis) => world.store_outage(Span::from_millis(millis)),
+        }
+    }
+    sent
+}
+
+/// The requests that ran for each account and key, by the runners' logs.
+fn runs(
+    world: &World,
+    sent: &BTreeMap<u64, (usize, usize, u8)>,
+) -> BTreeMap<(usize, u8), Vec<u64>> {
+    let mut runs: BTreeMap<_, Vec<_>> = BTreeMap::new();
+    for run in &world.runs {
+        let (_, account, key) = sent[&run.id.request.0];
+        runs.entry((account, key)).or_default().push(run.id.request.0);
+    }
+    runs
+}
+
+proptest! {
+    #[test]
+    fn under_any_faults_a_booking_runs_at_most_once(
+        script in script(),
+        seed in any::<u64>(),
+        faults in faults(),
+    ) {
+        let mut world = World::new(VMS, 3, 0, seed, faults);
+        let sent = play(&mut world, &script);
+        // Long enough for late writes, thaws and all further tries.
+        world.run(60_000);
+        let runs = runs(&world, &sent);
+        for (key, requests) in &runs {
+            prop_assert!(requests.len() <= 1, "{:?} ran for {:?}", key, requests);
+        }
+        prop_assert_eq!(world.not_run_was_true(), Ok(()));
+        for (request, told) in &world.told {
+            let (Told::Whole(bytes) | Told::Replay(bytes)) = told else { continue };
+            let (_, account, key) = sent[&request.0];
+            let run = world.runs.iter().find(|run| run.id.request.0 == runs[&(account, key)][0]);
+            prop_assert_eq!(bytes, &crate::world::answer(run.unwrap().id));
+        }
+    }
+
+    #[test]
+    fn without_faults_each_booking_runs_once_and_is_answered(
+        sends in prop::collection::vec((0..400_u64, 0..VMS, 0..2_usize, 0..4_u8), 1..20),
+        seed in any::<u64>(),
+    ) {
+        let mut world = World::new(VMS, 3, 0, seed, Faults::default());
+        let script: Vec<_> = sends
+            .iter()
+            .map(|&(pause, vm, account, key)| (pause, Action::Send { vm, account, key }))
+            .collect();
+        let sent = play(&mut world, &script);
+        world.run(5_000);
+        let runs = runs(&world, &sent);
+        for (request, (_, account, key)) in &sent {
+            let ran = &runs[&(*account, *key)];
+            prop_assert_eq!(ran.len(), 1);
+            let told = world.told.get(&RequestId(*request));
+            let run = world.runs.iter().find(|run| run.id.request.0 == ran[0]).unwrap();
+            let bytes = crate::world::answer(run.id);
+            let want = if ran[0] == *request { Told::Whole(bytes) } else { Told::Replay(bytes) };
+            prop_assert_eq!(told, Some(&want));
+        }
+        prop_assert_eq!(world.rows(), runs.len());
+    }
+}
+
+fn refusal(world: &World, request: u64) -> (Reason, Outcome) {
+    match world.told.get(&RequestId(request)) {
+        Some(Told::Refused(refusal)) => (refusal.reason.clone(), refusal.outcome),
+        told => panic!("{request} was told {told:?}"),
+    }
+}
+
+#[test]
+fn while_the_store_is_down_bookings_are_refused_promptly_as_not_run() {
+    let mut world = World::new(1, 1, 0, 1, Faults::default());
+    world.store_outage(Span::from_secs(60));
+    for request in 0..20 {
+        world.send(0, booking(request, 0, &format!("k-{request}"), "body"));
+        world.run(3_000);
+        assert_eq!(refusal(&world, request), (Reason::NoClaim, Outcome::NotRun));
+    }
+    assert!(world.runs.is_empty());
+    world.run(30_000);
+    world.send(0, booking(99, 0, "k-0", "body"));
+    world.run(1_000);
+    assert!(
+        matches!(world.told[&RequestId(99)], Told::Whole(_)),
+        "{:?}",
+        world.told[&RequestId(99)]
+    );
+}
+
+#[test]
+fn another_body_or_another_account_never_meets_a_booking() {
+    let mut world = World::new(2, 1, 0, 1, Faults::default());
+    world.send(0, booking(1, 0, "k", "body"));
+    world.run(1_000);
+    world.send(1, booking(2, 0, "k", "other"));
+    world.send(1, booking(3, 1, "k", "body"));
+    world.run(1_000);
+    assert_eq!(refusal(&world, 2), (Reason::KeyReused, Outcome::NotRun));
+    assert!(matches!(world.told[&RequestId(3)], Told::Whole(_)));
+}
+
+#[test]
+fn a_resend_of_a_dead_vms_booking_is_unknown_and_never_runs() {
+    let mut world = World::new(2, 1, 0, 1, Faults::default());
+    world.send(0, booking(1, 0, "k", "body"));
+    world.run(15);
+    world.kill(0);
+    world.send(1, booking(2, 0, "k", "body"));
+    world.run(5_000);
+    assert_eq!(refusal(&world, 2), (Reason::Unsettled, Outcome::Unknown));
+    assert!(world.runs.len() <= 1);
+}
+
+#[test]
+fn a_vm_that_was_paused_after_its_claim_sends_nothing() {
+    let mut world = World::new(1, 1, 0, 1, Faults::default());
+    world.send(0, booking(1, 0, "k", "body"));
+    // The claim is written, its answer meets a paused VM.
+    world.freeze(0, Span::from_secs(20));
+    world.run(25_000);
+    assert_eq!(refusal(&world, 1), (Reason::NoClaim, Outcome::NotRun));
+    assert!(world.runs.is_empty());
+    world.send(0, booking(2, 0, "k", "body"));
+    world.run(1_000);
+    assert!(matches!(world.told[&RequestId(2)], Told::Whole(_)));
+}
+
+#[test]
+fn a_vanished_callers_booking_is_seen_through() {
+    let mut world = World::new(2, 1, 0, 1, Faults::default());
+    world.send(0, booking(1, 0, "k", "body"));
+    world.run(18);
+    assert_eq!(world.runs.len(), 1, "it runs by now");
+    world.vanish(0, RequestId(1));
+    world.run(1_000);
+    world.send(1, booking(2, 0, "k", "body"));
+    world.run(1_000);
+    assert!(matches!(world.told[&RequestId(2)], Told::Replay(_)));
+    assert_eq!(world.runs.len(), 1);
+}
+
+#[test]
+fn a_resend_is_answered_from_its_outcome_when_no_runner_has_a_place() {
+    let mut world = World::new(1, 1, 0, 1, Faults::default());
+    world.send(0, booking(1, 0, "k", "poison"));
+    world.run(1_000);
+    // The only runner dies of another request.
+    world.poison = Some(crate::world::digest("crash"));
+    world.send(0, desk(2, 0, "GET", "stock", None, "crash"));
+    world.run(200);
+    assert_eq!(world.deaths.len(), 1);
+    world.send(0, booking(3, 0, "k", "poison"));
+    world.send(0, booking(4, 0, "k-4", "body"));
+    world.run(1_000);
+    assert!(matches!(world.told[&RequestId(3)], Told::Replay(_)));
+    assert_eq!(refusal(&world, 4), (Reason::NoTarget, Outcome::NotRun));
+}
+
+#[test]
+fn outcomes_are_kept_for_the_retention_time_and_then_go() {
+    let mut world = World::with_retention(1, 1, 0, 1, Faults::default(), 100);
+    for n in 0..30 {
+        world.send(0, booking(n, 0, &format!("k-{n}"), "body"));
+        world.run(4_000);
+    }
+    // The first was settled 120 s ago, the one at 24 s less than 100 s ago.
+    world.send(0, booking(100, 0, "k-6", "body"));
+    world.run(1_000);
+    assert!(matches!(world.told[&RequestId(100)], Told::Replay(_)));
+    world.run(126_000);
+    world.send(0, booking(101, 0, "k-101", "body"));
+    world.run(1_000);
+    assert_eq!(world.rows(), 1);
+}
--- /dev/null
+++ b/crates/control/tests/all/main.rs
@@ -0,0 +1,5 @@
+//! Tests of the control reducer.
+
+mod booking;
+mod poison;
+mod world;
--- /dev/null
+++ b/crates/control/tests/all/world/input.rs
@@ -0,0 +1,73 @@
+//! What callers and operators send.
+
+use briarshift_control::request::{Arrival, Work};
+use briarshift_settings::Call;
+use briarshift_units::{ChatKey, Digest, RequestId};
+use sha2::Digest as _;
+
+const DOCUMENT: &str = r#"{
+  "owners": ["o"],
+  "accounts": [
+    {"id": "a-0", "owner": "o", "key_sha256": "KEY0", "rate": {"per_second": 1e6, "burst": 1000000}},
+    {"id": "a-1", "owner": "o", "key_sha256": "KEY1", "rate": {"per_second": 1e6, "burst": 1000000}}
+  ],
+  "pools": [
+    {"id": "desk", "owner": "o", "queue_wait_ms": 2000, "queue_length": 1000, "retry_share": 0.1,
+     "kind": {"runner": {"concurrency": 50, "timeout_ms": 3000, "retention_s": RETENTION,
+                         "repeatable": [{"method": "GET", "path": "stock"}]}}},
+    {"id": "chat", "owner": "o", "queue_wait_ms": 5000, "queue_length": 1000, "retry_share": 0.1,
+     "kind": {"engine": {"load_factor": 1.5, "place_wait_ms": 100, "overnight_share": 0.5}}}
+  ],
+  "models": [{"id": "m", "pool": "chat"}]
+}"#;
+
+pub fn digest(text: &str) -> Digest {
+    Digest(sha2::Sha256::digest(text).into())
+}
+
+fn credential(account: usize) -> Digest {
+    digest(&format!("key-{account}"))
+}
+
+pub fn booking(request: u64, account: usize, key: &str, body: &str) -> Arrival {
+    desk(request, account, "POST", "book", Some(key), body)
+}
+
+pub fn desk(
+    request: u64,
+    account: usize,
+    method: &str,
+    path: &str,
+    key: Option<&str>,
+    body: &str,
+) -> Arrival {
+    Arrival {
+        request: RequestId(request),
+        credential: Some(credential(account)),
+        body: digest(body),
+        work: Work::Desk {
+            pool: "desk".into(),
+            call: Call { method: method.into(), path: path.into() },
+            key: key.map(Into::into),
+        },
+    }
+}
+
+pub fn chat(request: u64, account: usize, body: &str) -> Arrival {
+    let hash = digest(body);
+    let key = u64::from_be_bytes(hash.0[..8].try_into().unwrap());
+    Arrival {
+        request: RequestId(request),
+        credential: Some(credential(account)),
+        body: hash,
+        work: Work::Chat { model: "m".into(), token: None, chat: ChatKey(key) },
+    }
+}
+
+/// The environment document with two accounts, a desk and a chat pool.
+pub fn document(retention_s: u64) -> String {
+    DOCUMENT
+        .replace("KEY0", &credential(0).to_string())
+        .replace("KEY1", &credential(1).to_string())
+        .replace("RETENTION", &retention_s.to_string())
+}
--- /dev/null
+++ b/crates/control/tests/all/world/mod.rs
@@ -0,0 +1,496 @@
+//! Several VMs' reducers with a fake store, fake targets and virtual time.
+//!
+//! The fakes answer effects; what they do wrong is drawn from a seed and set
+//! by [`Faults`]. Targets keep a log of what they ran, against which the
+//! tests check what callers were told.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use briarshift_control::request::{Arrival, Decision, End, Outcome, Refusal, Send, Tokens};
+use briarshift_control::{Effect, Event, Identity, Kind, State, Ticket, booking, request};
+use briarshift_platform::{Error, Expect, Listed, Operation, Reply, Role, Standing, Version};
+use briarshift_target::{Attempt, Failure, Report};
+use briarshift_units::{Digest, Moment, RequestId, Span, Start, TargetId, WallTime};
+
+mod input;
+mod store;
+
+pub use input::{booking, chat, desk, digest};
+use store::Store;
+
+/// Chances in a hundred.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Faults {
+    /// A store call's answer is lost.
+    pub lost: u64,
+    /// A store write takes effect seconds later, unanswered.
+    pub late: u64,
+    /// A target refuses a request unrun.
+    pub refused: u64,
+    /// A target runs a request and breaks off, or is too slow.
+    pub broken: u64,
+}
+
+/// What a caller was told.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Told {
+    Whole(Vec<u8>),
+    Replay(Vec<u8>),
+    Refused(Refusal),
+}
+
+/// One run in a target's log.
+#[derive(Debug, Clone)]
+pub struct Run {
+    pub id: Attempt,
+}
+
+struct Vm {
+    state: Option<State>,
+    epoch: u64,
+    frozen_until: u64,
+}
+
+struct Target {
+    id: TargetId,
+    pool: &'static str,
+    start: u64,
+    up: bool,
+    running: Vec<(usize, u64, Attempt)>,
+}
+
+type Step = Box<dyn FnOnce(&mut World)>;
+
+pub struct World {
+    pub now: u64,
+    pub faults: Faults,
+    pub told: BTreeMap<RequestId, Told>,
+    pub runs: Vec<Run>,
+    /// Attempts that workers were told to send.
+    pub sends: usize,
+    /// Targets that died, in order.
+    pub deaths: Vec<TargetId>,
+    /// The body that kills what runs it.
+    pub poison: Option<Digest>,
+    /// Targets that refuse everything.
+    pub refusing: Vec<TargetId>,
+    /// One-way delay between VMs.
+    pub delay: Span,
+    arrivals: BTreeMap<RequestId, Arrival>,
+    vms: Vec<Vm>,
+    targets: Vec<Target>,
+    store: Store,
+    seed: u64,
+    queue: BTreeMap<(u64, u64), Step>,
+    steps: u64,
+}
+
+/// The bytes that a run answers.
+pub fn answer(id: Attempt) -> Vec<u8> {
+    format!("ran {id}").into_bytes()
+}
+
+const MILLI: u64 = 1_000;
+
+impl World {
+    pub fn new(vms: usize, runners: usize, engines: usize, seed: u64, faults: Faults) -> Self {
+        Self::with_retention(vms, runners, engines, seed, faults, 86_400)
+    }
+
+    pub fn with_retention(
+        vms: usize,
+        runners: usize,
+        engines: usize,
+        seed: u64,
+        faults: Faults,
+        retention_s: u64,
+    ) -> Self {
+        let pools = [("desk", runners), ("chat", engines)];
+        let targets = pools.into_iter().flat_map(|(pool, count)| {
+            (0..count).map(move |n| Target {
+                id: format!("{pool}-{n}").parse().unwrap(),
+                pool,
+                start: 1,
+                up: true,
+                running: Vec::new(),
+            })
+        });
+        let mut world = Self {
+            now: 0,
+            faults: Faults::default(),
+            told: BTreeMap::new(),
+            runs: Vec::new(),
+            sends: 0,
+            deaths: Vec::new(),
+            poison: None,
+            refusing: Vec::new(),
+            delay: Span::from_millis(2),
+            arrivals: BTreeMap::new(),
+            vms: Vec::new(),
+            targets: targets.collect(),
+            store: Store::default(),
+            seed,
+            queue: BTreeMap::new(),
+            steps: 0,
+        };
+        let value = input::document(retention_s);
+        let key = briarshift_control::document::key("test");
+        let put = Operation::Put { key, value, expect: Expect::Any, lease: None };
+        world.store.execute(0, put).unwrap();
+        for vm in 0..vms {
+            world.vms.push(Vm { state: None, epoch: 0, frozen_until: 0 });
+            world.start(vm);
+        }
+        world.run(2_000);
+        world.faults = faults;
+        world
+    }
+
+    /// Starts a VM, or replaces it by a new process.
+    pub fn start(&mut self, vm: usize) {
+        let row = &mut self.vms[vm];
+        row.epoch += 1;
+        row.frozen_until = 0;
+        row.state = Some(State::new(Identity {
+            vm: format!("vm-{vm}").parse().unwrap(),
+            start: Start(row.epoch),
+            data_centre: "dc".parse().unwrap(),
+            address: vm_address(vm),
+            environment: "test".into(),
+            token_key: [7; 32],
+        }));
+        let epoch = row.epoch;
+        self.tick(vm, epoch);
+    }
+
+    pub fn kill(&mut self, vm: usize) {
+        self.vms[vm].state = None;
+    }
+
+    pub fn freeze(&mut self, vm: usize, span: Span) {
+        self.vms[vm].frozen_until = self.now + span.0;
+    }
+
+    pub fn store_outage(&mut self, span: Span) {
+        self.store.down_until = self.now + span.0;
+    }
+
+    /// Rows of bookings in the store.
+    pub fn rows(&self) -> usize {
+        self.store.rows.keys().filter(|key| key.starts_with("bookings/")).count()
+    }
+
+    /// Runs for some milliseconds.
+    pub fn run(&mut self, millis: u64) {
+        let until = self.now + millis * MILLI;
+        while let Some(entry) = self.queue.first_entry() {
+            if until < entry.key().0 {
+                break;
+            }
+            let ((at, _), step) = entry.remove_entry();
+            self.now = at;
+            step(self);
+        }
+        self.now = until;
+    }
+
+    pub fn after(&mut self, micros: u64, step: impl FnOnce(&mut Self) + 'static) {
+        self.steps += 1;
+        self.queue.insert((self.now + micros, self.steps), Box::new(step));
+    }
+
+    /// A number below `n`, drawn from the seed.
+    pub fn draw(&mut self, n: u64) -> u64 {
+        self.seed = self.seed.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1);
+        (self.seed >> 33) % n
+    }
+
+    fn chance(&mut self, percent: u64) -> bool {
+        self.draw(100) < percent
+    }
+
+    /// A caller sends a request to a VM, if that lives.
+    pub fn send(&mut self, vm: usize, arrival: Arrival) {
+        self.arrivals.insert(arrival.request, arrival.clone());
+        let epoch = self.vms[vm].epoch;
+        self.deliver(vm, epoch, Kind::Request(request::Event::Arrived(arrival)));
+    }
+
+    /// A caller goes away.
+    pub fn vanish(&mut self, vm: usize, request: RequestId) {
+        let epoch = self.vms[vm].epoch;
+        self.deliver(vm, epoch, Kind::Request(request::Event::Gone(request)));
+    }
+
+    fn tick(&mut self, vm: usize, epoch: u64) {
+        const INTERVAL: u64 = 50 * MILLI;
+        if self.lives(vm, epoch) {
+            self.deliver(vm, epoch, Kind::Tick);
+            self.after(INTERVAL, move |world| world.tick(vm, epoch));
+        }
+    }
+
+    fn lives(&self, vm: usize, epoch: u64) -> bool {
+        self.vms[vm].epoch == epoch && self.vms[vm].state.is_some()
+    }
+
+    /// Does a step on a VM, when it is awake; never, if it died.
+    fn on(&mut self, vm: usize, epoch: u64, step: impl FnOnce(&mut Self) + 'static) {
+        if !self.lives(vm, epoch) {
+            return;
+        }
+        let frozen_until = self.vms[vm].frozen_until;
+        if self.now < frozen_until {
+            self.after(frozen_until - self.now, move |world| world.on(vm, epoch, step));
+        } else {
+            step(self);
+        }
+    }
+
+    fn deliver(&mut self, vm: usize, epoch: u64, kind: Kind) {
+        self.on(vm, epoch, move |world| {
+            let entropy = world.draw(u64::MAX >> 33);
+            let at = Moment(world.now);
+            let event = Event { at, wall: WallTime(world.now / MILLI), entropy, kind };
+            let effects = world.vms[vm].state.as_mut().unwrap().apply(event);
+            for effect in effects {
+                world.carry_out(vm, epoch, effect);
+            }
+        });
+    }
+
+    fn carry_out(&mut self, vm: usize, epoch: u64, effect: Effect) {
+        match effect {
+            Effect::Decide { request, decision } => self.decide(vm, epoch, request, decision),
+            Effect::Send { to, message, .. } => {
+                let from = format!("vm-{vm}").parse().unwrap();
+                let to: usize = to.as_str()[3..].parse().unwrap();
+                let delay = self.draw(self.delay.0) + 1;
+                self.after(delay, move |world| {
+                    let epoch = world.vms[to].epoch;
+                    world.deliver(to, epoch, Kind::Peer { from, message });
+                });
+            }
+            Effect::Store { ticket, operation } => self.call(vm, epoch, ticket, operation),
+            Effect::List => {
+                let rows = self.list();
+                self.after(MILLI, move |world| world.deliver(vm, epoch, Kind::List(Ok(rows))));
+            }
+            Effect::Poll { target, .. } => {
+                let index = self.index(&target);
+                let row = &self.targets[index];
+                let report = Report {
+                    start: Start(row.start),
+                    running: u32::try_from(row.running.len()).unwrap(),
+                    ..Report::default()
+                };
+                let result = if row.up { Ok(report) } else { Err(Failure::Timeout) };
+                self.after(MILLI, move |world| {
+                    world.deliver(vm, epoch, Kind::Load { target, result });
+                });
+            }
+            _ => {}
+        }
+    }
+
+    fn list(&self) -> Vec<Listed> {
+        let row = |vm: String, role, address| Listed {
+            vm: vm.parse().unwrap(),
+            role,
+            data_centre: "dc".parse().unwrap(),
+            address,
+            standing: Standing::Live,
+        };
+        let vms =
+            (0..self.vms.len()).map(|vm| row(format!("vm-{vm}"), Role::Entry, vm_address(vm)));
+        let targets = self.targets.iter().enumerate().map(|(index, target)| {
+            let role = Role::Target { pool: target.pool.parse().unwrap() };
+            let port = 9_000 + u16::try_from(index).unwrap();
+            row(target.id.to_string(), role, SocketAddr::from(([127, 0, 0, 1], port)))
+        });
+        vms.chain(targets).collect()
+    }
+
+    fn index(&self, target: &TargetId) -> usize {
+        self.targets.iter().position(|row| &row.id == target).unwrap()
+    }
+
+    fn call(&mut self, vm: usize, epoch: u64, ticket: Ticket, operation: Operation) {
+        let answer = move |world: &mut Self, ticket, result| {
+            world.deliver(vm, epoch, Kind::Store { ticket, result });
+        };
+        if let Operation::Watch { key, after, wait } = operation {
+            return self.watch(vm, epoch, ticket, key.to_string(), after, self.now + wait.0);
+        }
+        let delay = MILLI + self.draw(3 * MILLI);
+        if self.now < self.store.down_until {
+            // An outage refuses some calls and leaves others hanging.
+            if self.chance(50) {
+                let refused = Err(Error::Refused("down".into()));
+                self.after(delay, move |world| answer(world, ticket, refused));
+            }
+            return;
+        }
+        if self.chance(self.faults.late) {
+            let late = self.draw(20_000) * MILLI;
+            self.after(late, move |world| {
+                let _ = world.store.execute(world.now, operation);
+            });
+            return;
+        }
+        let lost = self.chance(self.faults.lost);
+        let told = self.chance(50);
+        self.after(delay, move |world| {
+            let result = world.store.execute(world.now, operation);
+            if !lost {
+                world.after(MILLI, move |world| answer(world, ticket, result));
+            } else if told {
+                let unknown = Err(Error::Unknown("reset".into()));
+                world.after(MILLI, move |world| answer(world, ticket, unknown));
+            }
+        });
+    }
+
+    fn watch(
+        &mut self,
+        vm: usize,
+        epoch: u64,
+        ticket: Ticket,
+        key: String,
+        after: Version,
+        end: u64,
+    ) {
+        let entry = self.store.rows.get(&key).map(|(entry, _)| entry.clone());
+        let changed = entry.filter(|entry| after < entry.version);
+        if changed.is_some() || end <= self.now {
+            let result = Ok(Reply::Value(changed));
+            return self.after(MILLI, move |world| {
+                world.deliver(vm, epoch, Kind::Store { ticket, result });
+            });
+        }
+        self.after(10 * MILLI, move |world| world.watch(vm, epoch, ticket, key, after, end));
+    }
+
+    fn decide(&mut self, vm: usize, epoch: u64, request: RequestId, decision: Decision) {
+        match decision {
+            Decision::Send(send) => {
+                self.sends += 1;
+                let delay = self.draw(3 * MILLI);
+                self.after(delay, move |world| {
+                    world.on(vm, epoch, move |world| world.dispatch(vm, epoch, send));
+                });
+            }
+            Decision::Resume(resume) => {
+                let failure = Failure::Broken("no stream".into());
+                self.ended(vm, epoch, resume.id, End::Failed { failure, relayed: true });
+            }
+            Decision::Replay(outcome) => {
+                self.told.insert(request, Told::Replay(outcome.body));
+            }
+            Decision::Refuse(refusal) => {
+                self.told.insert(request, Told::Refused(refusal));
+            }
+        }
+    }
+
+    /// A worker sends an attempt.
+    fn dispatch(&mut self, vm: usize, epoch: u64, send: Send) {
+        let index = self.index(&send.target);
+        if send.before.is_some_and(|before| before < Moment(self.now)) {
+            let failure = Failure::NotSent("too late".into());
+            return self.ended(vm, epoch, send.id, End::Failed { failure, relayed: false });
+        }
+        self.after(MILLI, move |world| world.arrive(vm, epoch, index, &send));
+    }
+
+    fn arrive(&mut self, vm: usize, epoch: u64, index: usize, send: &Send) {
+        let (id, booking) = (send.id, send.whole);
+        if !self.targets[index].up {
+            let failure = Failure::NotSent("refused".into());
+            return self.ended(vm, epoch, id, End::Failed { failure, relayed: false });
+        }
+        if self.chance(self.faults.refused) || self.refusing.contains(&send.target) {
+            return self.ended(vm, epoch, id, End::Refused);
+        }
+        let arrival = self.arrivals[&id.request].clone();
+        self.runs.push(Run { id });
+        self.targets[index].running.push((vm, epoch, id));
+        let start = self.targets[index].start;
+        if self.poison == Some(arrival.body) {
+            let delay = (50 + self.draw(100)) * MILLI;
+            return self.after(delay, move |world| world.crash(index, start));
+        }
+        let delay = (20 + self.draw(200)) * MILLI;
+        let broken = self.chance(self.faults.broken);
+        self.after(delay, move |world| {
+            let running = &mut world.targets[index].running;
+            let Some(at) = running.iter().position(|run| run.2 == id) else { return };
+            running.remove(at);
+            if broken && world.chance(50) {
+                let failure = Failure::Broken("reset".into());
+                world.ended(vm, epoch, id, End::Failed { failure, relayed: false });
+            } else if broken {
+                // Late: the worker gave up, and still reads the answer.
+                let end = End::Failed { failure: Failure::Timeout, relayed: false };
+                world.ended(vm, epoch, id, end);
+                world.after(500 * MILLI, move |world| world.whole(vm, epoch, id, booking, true));
+            } else {
+                world.whole(vm, epoch, id, booking, false);
+            }
+        });
+    }
+
+    fn whole(&mut self, vm: usize, epoch: u64, id: Attempt, booking: bool, late: bool) {
+        self.after(MILLI, move |world| {
+            world.on(vm, epoch, move |world| {
+                if !late {
+                    world.told.insert(id.request, Told::Whole(answer(id)));
+                }
+                let outcome =
+                    booking::Outcome { status: 200, content_type: None, body: answer(id) };
+                let outcome = booking.then_some(outcome);
+                let end = End::Whole { tokens: Tokens::default(), outcome };
+                world.deliver(vm, epoch, Kind::Request(request::Event::Ended { id, end }));
+            });
+        });
+    }
+
+    fn ended(&mut self, vm: usize, epoch: u64, id: Attempt, end: End) {
+        self.after(MILLI, move |world| {
+            world.deliver(vm, epoch, Kind::Request(request::Event::Ended { id, end }));
+        });
+    }
+
+    /// A target dies with all that it runs, and starts anew.
+    fn crash(&mut self, index: usize, start: u64) {
+        let target = &mut self.targets[index];
+        if !target.up || target.start != start {
+            return;
+        }
+        target.up = false;
+        target.start += 1;
+        self.deaths.push(target.id.clone());
+        for (vm, epoch, id) in std::mem::take(&mut target.running) {
+            let failure = Failure::Broken("died".into());
+            self.ended(vm, epoch, id, End::Failed { failure, relayed: false });
+        }
+        self.after(3_000 * MILLI, move |world| world.targets[index].up = true);
+    }
+
+    /// What was promised of "not run", checked against the targets' logs.
+    pub fn not_run_was_true(&self) -> Result<(), String> {
+        for (request, told) in &self.told {
+            let Told::Refused(refusal) = told else { continue };
+            let ran = self.runs.iter().any(|run| run.id.request == *request);
+            if refusal.outcome == Outcome::NotRun && ran {
+                return Err(format!("{request} was told not-run ({}), and ran", refusal.reason));
+            }
+        }
+        Ok(())
+    }
+}
+
+fn vm_address(vm: usize) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 8_000 + u16::try_from(vm).unwrap()))
+}
--- a/crates/daemon/src/control.rs
+++ b/crates/daemon/src/control.rs
@@ -105,7 +105,7 @@
     }
 
     fn decide(&mut self, request: RequestId, decision: Decision) {
-        let last = !matches!(decision, Decision::Send(_));
+        let last = !matches!(decision, Decision::Send(_) | Decision::Resume(_));
         if let Some(worker) = self.waiting.get(&request) {
             // A worker that is gone has told so, or will.
             let _ = worker.send(decision);
--- a/crates/daemon/src/worker.rs
+++ b/crates/daemon/src/worker.rs
@@ -101,6 +101,12 @@
                         }
                     }
                 }
+                // Only a stream is resumed, and that reads its own decisions.
+                Decision::Resume(resume) => {
+                    let failure = Failure::Broken("there is no stream to resume".into());
+                    let end = End::Failed { failure, relayed: false };
+                    self.worker.tell(Event::Ended { id: resume.id, end });
+                }
                 Decision::Replay(outcome) => return self.respond(answer::replay(outcome)),
                 Decision::Refuse(refusal) => {
                     let id = self.id().to_string();
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -6,4 +6,5 @@
 
 pub mod bound;
 pub mod rank;
+pub mod retry;
 pub mod token;
