Let one VM admit for each slice of a pool

Cause: the skeleton counts places per entry VM, so each VM sees a sliver of a target's load and the bound is broken at once.

Change: a pool of up to 24 targets is one slice with one admitting VM (rendezvous over live VMs) that counts each place from grant to release; others ask it. Larger pools are cut by hash into a power of two of slices. Account limits are taken at the admitting VM; cache events correct the token's claim. control::State carries the cache state and hands it to the placement (border change in state.rs), request maps Denial::Limit.

--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -18,7 +18,9 @@
 mod state;
 
 pub mod booking;
+pub mod cache;
 pub mod document;
+pub mod limit;
 pub mod member;
 pub mod order;
 pub mod place;
--- /dev/null
+++ b/crates/control/src/place/admit.rs
@@ -0,0 +1,395 @@
+//! The admitting side: exact counts of a slice's places.
+//!
+//! A slice's admitting VM counts each place from its grant to its release. A
+//! VM that takes a slice over first asks all VMs for the places they hold, and
+//! grants nothing until they have told or a grace period is over; places that
+//! nobody told of are then taken from the targets' reports.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+use briarshift_routing::board::{Board, Bound, Choice, Seat, Want};
+use briarshift_routing::queue::{Queue, Slot};
+use briarshift_settings::{Kind, Pool};
+use briarshift_units::{Moment, RequestId, Span, TargetId, VmId};
+use briarshift_wire::place::{Ask, Denial, Held};
+
+use super::{Key, Roster, View};
+use crate::{Output, Record};
+
+/// How long a grant may be under way to its target.
+const GRANT_TRANSIT: Span = Span::from_millis(10);
+/// Over how long releases are counted, to tell how many more are under way.
+const RELEASE_WINDOW: Span = Span::from_millis(40);
+/// Shortest wait for a VM that is doubted to say that it admits.
+const PROBE: Span = Span::from_millis(50);
+/// Longest wait for other VMs to tell what they hold.
+const GRACE: Span = Span::from_millis(300);
+/// How long a place unknown to its holder is kept: its grant may be under way.
+const GRANT_AGE: Span = Span::from_secs(1);
+/// Weight of a new report in the estimate of places that nobody told of.
+const UNTOLD_WEIGHT: f64 = 0.25;
+/// Reports lag, so that they differ from the count by some requests; only
+/// what is above this counts as untold.
+const UNTOLD_SLACK: f64 = 4.0;
+
+/// Whether the slice is admitted for.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Phase {
+    /// Another VM admits.
+    Idle,
+    /// About to admit: other VMs tell what they hold.
+    Claiming {
+        /// Since when.
+        since: Moment,
+        /// Who has told.
+        told: BTreeSet<VmId>,
+    },
+    /// Admits.
+    Admitting,
+}
+
+/// A request that waits for a place.
+#[derive(Debug, Clone)]
+pub struct Waiting {
+    /// The VM that asks.
+    pub vm: VmId,
+    /// What it asks for.
+    pub ask: Ask,
+    /// Since when the request waits.
+    pub since: Moment,
+}
+
+/// What came of an ask, for its VM.
+#[derive(Debug, Clone)]
+pub struct Answer {
+    /// The VM that asked.
+    pub vm: VmId,
+    /// The request.
+    pub request: RequestId,
+    /// The place, or why there is none.
+    pub place: Result<TargetId, Denial>,
+}
+
+#[derive(Debug)]
+struct Place {
+    vm: VmId,
+    target: TargetId,
+    overnight: bool,
+    at: Moment,
+}
+
+#[derive(Debug, Clone, Copy, Default)]
+struct Count {
+    load: u32,
+    overnight: u32,
+}
+
+#[derive(Debug, Clone, Copy, Default)]
+struct Untold {
+    estimate: f64,
+    reported_at: Moment,
+}
+
+/// Times of something that happened lately.
+#[derive(Debug, Default)]
+struct Recent(VecDeque<Moment>);
+
+impl Recent {
+    fn add(&mut self, at: Moment) {
+        self.0.push_back(at);
+    }
+
+    fn count(&mut self, at: Moment, window: Span) -> i64 {
+        while self.0.front().is_some_and(|&first| window <= at.since(first)) {
+            self.0.pop_front();
+        }
+        self.0.len() as i64
+    }
+}
+
+/// One slice, as its admitting VM counts it.
+#[derive(Debug)]
+pub struct State {
+    phase: Phase,
+    places: BTreeMap<RequestId, Place>,
+    counts: BTreeMap<TargetId, Count>,
+    untold: BTreeMap<TargetId, Untold>,
+    queue: Queue<Waiting>,
+    grants: Recent,
+    releases: Recent,
+}
+
+impl Default for State {
+    fn default() -> Self {
+        Self {
+            phase: Phase::Idle,
+            places: BTreeMap::new(),
+            counts: BTreeMap::new(),
+            untold: BTreeMap::new(),
+            queue: Queue::default(),
+            grants: Recent::default(),
+            releases: Recent::default(),
+        }
+    }
+}
+
+impl State {
+    /// Whether the slice is admitted for.
+    pub fn phase(&self) -> &Phase {
+        &self.phase
+    }
+
+    /// Starts to take the slice over.
+    pub fn claim(&mut self, at: Moment) {
+        self.phase = Phase::Claiming { since: at, told: BTreeSet::new() };
+    }
+
+    /// Stops admitting; returns the requests that waited.
+    pub fn step_down(&mut self) -> Vec<Waiting> {
+        let mut old = std::mem::take(self);
+        let slots = old.queue.slots();
+        slots.into_iter().filter_map(|slot| old.queue.take(slot)).collect()
+    }
+
+    /// The target that a request already has a place on.
+    pub fn placed(&self, request: RequestId) -> Option<&TargetId> {
+        self.places.get(&request).map(|place| &place.target)
+    }
+
+    /// Whether a request waits here.
+    pub fn is_waiting(&self, request: RequestId) -> bool {
+        self.queue.iter().any(|(_, waiting)| waiting.ask.request == request)
+    }
+
+    /// Adds a request to the queue; what had to go is denied.
+    pub fn enqueue(&mut self, waiting: Waiting, limit: u32) -> Option<Answer> {
+        let account = waiting.ask.account.clone();
+        let overnight = waiting.ask.overnight;
+        let shed = self.queue.push(&account, overnight, waiting, limit.max(1) as usize)?;
+        let request = shed.ask.request;
+        Some(Answer { vm: shed.vm, request, place: Err(Denial::Full) })
+    }
+
+    /// A request has ended or waits no longer.
+    pub fn release(&mut self, at: Moment, request: RequestId) {
+        if let Some(place) = self.places.remove(&request) {
+            self.uncount(&place);
+            self.releases.add(at);
+            return;
+        }
+        let slot = self.queue.iter().find(|(_, waiting)| waiting.ask.request == request);
+        if let Some((slot, _)) = slot {
+            self.queue.take(slot);
+        }
+    }
+
+    /// A VM tells all places that it holds.
+    pub fn told(&mut self, at: Moment, vm: &VmId, held: Vec<Held>) {
+        if let Phase::Claiming { told, .. } = &mut self.phase {
+            told.insert(vm.clone());
+        }
+        let known: BTreeSet<_> = held.iter().map(|held| held.request).collect();
+        let gone = self.places.iter().filter(|(request, place)| {
+            &place.vm == vm && !known.contains(request) && GRANT_AGE <= at.since(place.at)
+        });
+        let gone: Vec<_> = gone.map(|(request, _)| *request).collect();
+        for request in gone {
+            self.release(at, request);
+        }
+        for Held { request, target, overnight } in held {
+            if !self.places.contains_key(&request) {
+                self.count(request, Place { vm: vm.clone(), target, overnight, at });
+            }
+        }
+    }
+
+    /// Drops the places of VMs that are gone: their requests are broken off.
+    pub fn retain(&mut self, at: Moment, is_known: impl Fn(&VmId) -> bool) {
+        let gone = self.places.iter().filter(|(_, place)| !is_known(&place.vm));
+        let gone: Vec<_> = gone.map(|(request, _)| *request).collect();
+        for request in gone {
+            self.release(at, request);
+        }
+    }
+
+    /// Ends a claim once all `awaited` VMs have told, or the grace period is
+    /// over. While `probing`, a doubted VM is given time to be heard.
+    pub fn settle(
+        &mut self,
+        at: Moment,
+        view: View<'_>,
+        roster: &Roster,
+        key: &Key,
+        awaited: &[&VmId],
+        probing: bool,
+    ) -> bool {
+        let Phase::Claiming { since, told } = &self.phase else { return false };
+        let all = awaited.iter().all(|vm| told.contains(vm));
+        let wait = match (all, probing) {
+            (true, false) => Span::ZERO,
+            (true, true) => PROBE,
+            (false, _) => GRACE,
+        };
+        if at.since(*since) < wait {
+            return false;
+        }
+        self.phase = Phase::Admitting;
+        if !all {
+            self.estimate(view, roster, key, 1.0);
+        }
+        true
+    }
+
+    /// Compares the count with new reports: what is reported and was never
+    /// told is held by VMs that can't be heard.
+    pub fn reported(&mut self, view: View<'_>, roster: &Roster, key: &Key) {
+        self.estimate(view, roster, key, UNTOLD_WEIGHT);
+    }
+
+    /// Grants what can be granted and denies what has waited too long.
+    pub fn serve(
+        &mut self,
+        at: Moment,
+        view: View<'_>,
+        roster: &Roster,
+        key: &Key,
+        out: &mut Output,
+    ) -> Vec<Answer> {
+        let mut answers = Vec::new();
+        if self.phase != Phase::Admitting || self.queue.is_empty() {
+            return answers;
+        }
+        let Some(pool) = view.document.pools.iter().find(|pool| pool.id == key.pool) else {
+            return answers;
+        };
+        let targets = roster.targets(key);
+        let mut board = self.board(at, view, roster, key, pool, targets);
+        for slot in self.queue.slots() {
+            let Some(waiting) = self.queue.get(slot) else { continue };
+            let choice = board.choose(&want(at, view, pool, waiting));
+            let waited = at.since(waiting.since);
+            let place = match choice {
+                Choice::Seat(seat, why) => {
+                    let target = board.seats[seat].target.clone();
+                    let load = board.seats[seat].load + 1;
+                    let line = line(key, waiting, waited).with("target", &target);
+                    let line = line.with("why", why.as_str()).with("load", load);
+                    out.log(line.with("cap", board.cap()));
+                    board.take(seat, waiting.ask.overnight);
+                    Ok(target)
+                }
+                Choice::Empty => Err(Denial::Empty),
+                _ if Span::from_millis(pool.queue_wait_ms) <= waited => Err(Denial::Full),
+                _ => continue,
+            };
+            if let Err(denial) = place {
+                out.log(line(key, waiting, waited).with("denied", format_args!("{denial:?}")));
+            }
+            answers.extend(self.answer(at, slot, place));
+        }
+        answers
+    }
+
+    fn answer(
+        &mut self,
+        at: Moment,
+        slot: Slot,
+        place: Result<TargetId, Denial>,
+    ) -> Option<Answer> {
+        let Waiting { vm, ask, .. } = self.queue.serve(slot)?;
+        if let Ok(target) = &place {
+            let place =
+                Place { vm: vm.clone(), target: target.clone(), overnight: ask.overnight, at };
+            self.count(ask.request, place);
+            self.grants.add(at);
+        }
+        Some(Answer { vm, request: ask.request, place })
+    }
+
+    fn board<'a>(
+        &mut self,
+        at: Moment,
+        view: View<'_>,
+        roster: &Roster,
+        key: &Key,
+        pool: &Pool,
+        targets: &'a [TargetId],
+    ) -> Board<'a> {
+        let live = targets.iter().filter_map(|id| {
+            let target = view.targets.get(id).filter(|target| target.takes_work())?;
+            let count = self.counts.get(id).copied().unwrap_or_default();
+            let load = count.load + self.untold(id);
+            Some(Seat { target: id, start: target.start(), load, overnight: count.overnight })
+        });
+        let seats = live.collect();
+        let bound = match &pool.kind {
+            Kind::Engine(engine) => {
+                Bound::Mean { factor: engine.load_factor, overnight_share: engine.overnight_share }
+            }
+            Kind::Runner(runner) => Bound::Fixed(runner.concurrency),
+        };
+        let (other_load, other_targets) = roster.others(key);
+        let transit = self.grants.count(at, GRANT_TRANSIT);
+        let unheard = self.releases.count(at, RELEASE_WINDOW);
+        let other_load = other_load as i64 - transit - unheard;
+        Board { seats, bound, other_load, other_targets }
+    }
+
+    fn untold(&self, target: &TargetId) -> u32 {
+        let untold = self.untold.get(target).copied().unwrap_or_default();
+        (untold.estimate - UNTOLD_SLACK).max(0.0) as u32
+    }
+
+    fn estimate(&mut self, view: View<'_>, roster: &Roster, key: &Key, weight: f64) {
+        for id in roster.targets(key) {
+            let Some(target) = view.targets.get(id) else { continue };
+            let Some(report) = &target.report else { continue };
+            let untold = self.untold.entry(id.clone()).or_default();
+            if untold.reported_at == target.reported_at && weight < 1.0 {
+                continue;
+            }
+            untold.reported_at = target.reported_at;
+            let load = self.counts.get(id).copied().unwrap_or_default().load;
+            let sample = f64::from(report.running + report.waiting) - f64::from(load);
+            untold.estimate += weight * (sample - untold.estimate);
+        }
+    }
+
+    fn count(&mut self, request: RequestId, place: Place) {
+        let count = self.counts.entry(place.target.clone()).or_default();
+        count.load += 1;
+        count.overnight += u32::from(place.overnight);
+        self.places.insert(request, place);
+    }
+
+    fn uncount(&mut self, place: &Place) {
+        let Some(count) = self.counts.get_mut(&place.target) else { return };
+        count.load -= 1;
+        count.overnight -= u32::from(place.overnight);
+        if count.load == 0 {
+            self.counts.remove(&place.target);
+        }
+    }
+}
+
+fn want<'a>(at: Moment, view: View<'_>, pool: &Pool, waiting: &'a Waiting) -> Want<'a> {
+    let ask = &waiting.ask;
+    let place_wait = match &pool.kind {
+        Kind::Engine(engine) => Span::from_millis(engine.place_wait_ms),
+        Kind::Runner(_) => Span::ZERO,
+    };
+    let held_on = ask.held_on.as_ref().map(|(target, start)| (target, *start));
+    Want {
+        chat: ask.chat,
+        held_on: held_on.filter(|(target, _)| !view.cache.has_evicted(target, ask.chat)),
+        avoid: &ask.avoid,
+        overnight: ask.overnight,
+        patience: place_wait - at.since(waiting.since),
+    }
+}
+
+fn line(key: &Key, waiting: &Waiting, waited: Span) -> Record {
+    let line = Record::new("place").with("request", waiting.ask.request).with("pool", &key.pool);
+    let line = line.with("slice", key.slice.0).with("for", &waiting.vm);
+    line.with("account", &waiting.ask.account).with("waited", waited)
+}
--- /dev/null
+++ b/crates/control/src/place/entry.rs
@@ -0,0 +1,276 @@
+//! The asking side: this VM's own requests.
+
+use std::collections::BTreeMap;
+
+use briarshift_units::{Moment, RequestId, Span, TargetId, VmId};
+use briarshift_wire::place::{Ask, Denial, Held, Message};
+
+use super::{Key, Request, Verdict, View, send};
+use crate::{Context, Output, Record, Signal, target::Target};
+
+/// An ask that is not answered by then goes to the next VM.
+const ASK_TIMEOUT: Span = Span::from_millis(100);
+/// A request that is known to wait is asked for again after this time, in case
+/// the VM whose queue it is in was lost.
+const QUEUE_TIMEOUT: Span = Span::from_millis(1000);
+/// Releases are carried along with asks, or sent after this time.
+const RELEASE_DELAY: Span = Span::from_millis(20);
+/// VMs asked in vain before this VM decides alone.
+const MAX_TIMEOUTS: u32 = 2;
+/// Hops from VM to VM before this VM decides alone.
+const MAX_HOPS: u32 = 8;
+
+#[derive(Debug)]
+struct Asked {
+    key: Key,
+    ask: Ask,
+    since: Moment,
+    to: VmId,
+    sent_at: Moment,
+    queued: bool,
+    timeouts: u32,
+    hops: u32,
+    missing: Option<VmId>,
+}
+
+#[derive(Debug)]
+struct Place {
+    key: Key,
+    target: TargetId,
+    by: VmId,
+    overnight: bool,
+}
+
+#[derive(Debug)]
+struct Batch {
+    since: Moment,
+    requests: Vec<RequestId>,
+}
+
+/// Requests of this VM that have a place or wait for one.
+#[derive(Debug, Default)]
+pub struct State {
+    asked: BTreeMap<RequestId, Asked>,
+    held: BTreeMap<RequestId, Place>,
+    load: BTreeMap<TargetId, u32>,
+    releases: BTreeMap<VmId, Batch>,
+}
+
+impl State {
+    /// Notes a request that needs a place.
+    pub fn open(&mut self, at: Moment, key: Key, ask: Ask) {
+        let asked = Asked {
+            key,
+            since: at,
+            to: "-".parse().expect("a hyphen is an identifier"),
+            sent_at: at,
+            queued: false,
+            timeouts: 0,
+            hops: 0,
+            missing: None,
+            ask,
+        };
+        self.asked.insert(asked.ask.request, asked);
+    }
+
+    /// Forgets a request; returns its slice, and the VM that knows of it.
+    pub fn close(&mut self, request: RequestId) -> Option<(Key, VmId)> {
+        if let Some(asked) = self.asked.remove(&request) {
+            return Some((asked.key, asked.to));
+        }
+        let place = self.held.remove(&request)?;
+        if let Some(load) = self.load.get_mut(&place.target) {
+            *load -= 1;
+        }
+        Some((place.key, place.by))
+    }
+
+    /// The request waits in its admitting VM's queue.
+    pub fn queued(&mut self, at: Moment, request: RequestId) {
+        if let Some(asked) = self.asked.get_mut(&request) {
+            asked.queued = true;
+            asked.sent_at = at;
+        }
+    }
+
+    /// The request gets no place.
+    pub fn denied(&mut self, request: RequestId, reason: Denial, out: &mut Output) {
+        if self.asked.remove(&request).is_some() {
+            out.signal(Signal::Placed(Verdict { request, place: Err(reason) }));
+        }
+    }
+
+    /// Puts a release by for the next message to a VM.
+    pub fn release_later(&mut self, at: Moment, vm: &VmId, request: RequestId) {
+        let batch = Batch { since: at, requests: Vec::new() };
+        let batch = self.releases.entry(vm.clone()).or_insert(batch);
+        batch.requests.push(request);
+    }
+
+    /// Releases that have waited long enough for an ask to carry them.
+    pub fn due_releases(&mut self, at: Moment) -> Vec<(VmId, Vec<RequestId>)> {
+        let due = self.releases.extract_if(.., |_, batch| RELEASE_DELAY <= at.since(batch.since));
+        due.map(|(vm, batch)| (vm, batch.requests)).collect()
+    }
+
+    /// Requests whose ask was not answered in time.
+    pub fn overdue(&self, at: Moment) -> Vec<RequestId> {
+        let overdue = self.asked.iter().filter(|(_, asked)| {
+            let timeout = if asked.queued { QUEUE_TIMEOUT } else { ASK_TIMEOUT };
+            timeout <= at.since(asked.sent_at)
+        });
+        overdue.map(|(request, _)| *request).collect()
+    }
+
+    /// Slices in which this VM holds places.
+    pub fn slices(&self) -> BTreeMap<Key, Vec<Held>> {
+        let mut slices: BTreeMap<Key, Vec<Held>> = BTreeMap::new();
+        for (request, place) in &self.held {
+            let (target, overnight) = (place.target.clone(), place.overnight);
+            let held = Held { request: *request, target, overnight };
+            slices.entry(place.key.clone()).or_default().push(held);
+        }
+        slices
+    }
+
+    /// Places held in one slice.
+    pub fn held(&self, key: &Key) -> Vec<Held> {
+        let held = self.held.iter().filter(|(_, place)| place.key == *key);
+        let held = held.map(|(request, place)| Held {
+            request: *request,
+            target: place.target.clone(),
+            overnight: place.overnight,
+        });
+        held.collect()
+    }
+
+    /// Places held on a target.
+    pub fn load(&self, target: &TargetId) -> u32 {
+        self.load.get(target).copied().unwrap_or(0)
+    }
+}
+
+impl super::State {
+    /// Sends a request's ask to whoever admits for its slice.
+    pub(super) fn send_ask(
+        &mut self,
+        ctx: &Context<'_>,
+        view: View<'_>,
+        request: RequestId,
+        out: &mut Output,
+    ) {
+        let Some(asked) = self.entry.asked.get_mut(&request) else { return };
+        let alone = MAX_TIMEOUTS <= asked.timeouts || MAX_HOPS <= asked.hops;
+        if alone {
+            self.duty.admit_alone(ctx.at, &asked.key);
+        }
+        asked.to = self.duty.first(ctx, view, &asked.key).clone();
+        asked.sent_at = ctx.at;
+        asked.queued = false;
+        let (key, ask, missing) = (asked.key.clone(), asked.ask.clone(), asked.missing.clone());
+        let waited = ctx.at.since(asked.since);
+        let to = asked.to.clone();
+        if to == ctx.me.vm {
+            self.asked(ctx, view, Request { from: to, key, ask, waited, missing }, out);
+            return;
+        }
+        let released = self.entry.releases.remove(&to).map(|batch| batch.requests);
+        let released = released.unwrap_or_default();
+        let waited_ms = u32::try_from(waited.as_millis()).unwrap_or(u32::MAX);
+        let slice = key.slice;
+        send(view, &to, Message::Ask { ask, slice, waited_ms, missing, released }, out);
+    }
+
+    /// An ask was not answered: doubts its VM, and asks the next.
+    pub(super) fn ask_again(
+        &mut self,
+        ctx: &Context<'_>,
+        view: View<'_>,
+        request: RequestId,
+        out: &mut Output,
+    ) {
+        let Some(asked) = self.entry.asked.get_mut(&request) else { return };
+        let to = asked.to.clone();
+        if to == ctx.me.vm {
+            asked.sent_at = ctx.at;
+            return;
+        }
+        let pool = view.document.pools.iter().find(|pool| pool.id == asked.key.pool);
+        let limit = pool.map_or(0, |pool| pool.queue_wait_ms) + QUEUE_TIMEOUT.as_millis();
+        if Span::from_millis(limit) < ctx.at.since(asked.since) {
+            self.entry.denied(request, Denial::NotAdmitting, out);
+            self.entry.release_later(ctx.at, &to, request);
+            return;
+        }
+        if !asked.queued {
+            asked.timeouts += 1;
+            asked.missing = Some(to.clone());
+            out.log(Record::new("ask_timeout").with("request", request).with("to", &to));
+            self.duty.doubt(ctx, &to);
+        }
+        self.send_ask(ctx, view, request, out);
+    }
+
+    /// A VM says that another admits.
+    pub(super) fn redirected(
+        &mut self,
+        ctx: &Context<'_>,
+        view: View<'_>,
+        request: RequestId,
+        to: &VmId,
+        out: &mut Output,
+    ) {
+        let Some(asked) = self.entry.asked.get_mut(&request) else { return };
+        asked.hops += 1;
+        let key = asked.key.clone();
+        self.duty.trust(ctx.at, &key, to);
+        self.send_ask(ctx, view, request, out);
+    }
+
+    /// A place was granted.
+    pub(super) fn granted(
+        &mut self,
+        ctx: &Context<'_>,
+        view: View<'_>,
+        from: &VmId,
+        request: RequestId,
+        target: TargetId,
+        out: &mut Output,
+    ) {
+        let asked = self.entry.asked.remove(&request);
+        let Some(mut asked) = asked else {
+            // Crossed answers: the place came from another VM meanwhile, or
+            // the caller is gone.
+            let kept = self.entry.held.get(&request).is_some_and(|place| place.by == *from);
+            if !kept && *from != ctx.me.vm {
+                self.entry.release_later(ctx.at, from, request);
+            }
+            return;
+        };
+        if !view.targets.get(&target).is_some_and(Target::takes_work) {
+            // Lists disagree: this VM can't or may not use the target.
+            out.log(Record::new("grant_refused").with("request", request).with("target", &target));
+            let key = asked.key.clone();
+            asked.ask.avoid.push(target);
+            asked.hops += 1;
+            let hopeless = MAX_HOPS < asked.hops;
+            self.entry.asked.insert(request, asked);
+            if *from == ctx.me.vm {
+                self.release_here(ctx, view, &key, &[request], out);
+            } else {
+                self.entry.release_later(ctx.at, from, request);
+            }
+            if hopeless {
+                self.entry.denied(request, Denial::Empty, out);
+            } else {
+                self.send_ask(ctx, view, request, out);
+            }
+            return;
+        }
+        *self.entry.load.entry(target.clone()).or_default() += 1;
+        let overnight = asked.ask.overnight;
+        let place = Place { key: asked.key, target: target.clone(), by: from.clone(), overnight };
+        self.entry.held.insert(request, place);
+        out.signal(Signal::Placed(Verdict { request, place: Ok(target) }));
+    }
+}
--- a/crates/control/src/request/state.rs
+++ b/crates/control/src/request/state.rs
@@ -115,6 +115,7 @@
                 let reason = match denial {
                     Denial::Empty => Reason::NoTarget,
                     Denial::Full | Denial::NotAdmitting => Reason::Full,
+                    Denial::Limit { .. } => Reason::Limit,
                 };
                 self.give_up(id, reason, out);
                 return;
--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -6,8 +6,8 @@
 use briarshift_wire::Message;
 
 use crate::{
-    Context, Effect, Event, Identity, Kind, Output, Signal, Ticket, booking, document, member,
-    order, place, poison, request, target, usage,
+    Context, Effect, Event, Identity, Kind, Output, Signal, Ticket, booking, cache, document,
+    member, order, place, poison, request, target, usage,
 };
 
 /// All that an entry VM knows.
@@ -18,6 +18,7 @@
     members: member::State,
     targets: target::State,
     places: place::State,
+    cache: cache::State,
     requests: request::State,
     bookings: booking::State,
     poison: poison::State,
@@ -50,6 +51,7 @@
             members: member::State::default(),
             targets: target::State::default(),
             places: place::State::default(),
+            cache: cache::State::default(),
             requests: request::State::default(),
             bookings: booking::State::default(),
             poison: poison::State::default(),
@@ -129,7 +131,7 @@
             }
             Kind::List(Err(_)) => {}
             Kind::Load { target, result } => self.targets.load(ctx, &target, result, out),
-            Kind::Changes { .. } => {}
+            Kind::Changes { target, result } => self.cache.changes(&target, result, out),
             Kind::Ordered { target, result } => self.orders.ordered(ctx, &target, result, out),
             Kind::Drain => self.requests.drain(),
         }
@@ -140,6 +142,7 @@
         self.members.tick(ctx, out);
         self.targets.tick(ctx, out);
         self.with_places(|places, view| places.tick(ctx, view, out));
+        self.cache.tick(ctx, &self.targets, self.places.admitted(), out);
         self.orders.tick(ctx, out);
         self.usage.tick(ctx, out);
     }
@@ -185,7 +188,12 @@
 
     fn with_places(&mut self, apply: impl FnOnce(&mut place::State, place::View<'_>)) {
         let Some(document) = self.document.current() else { return };
-        let view = place::View { targets: &self.targets, members: &self.members, document };
+        let view = place::View {
+            targets: &self.targets,
+            members: &self.members,
+            document,
+            cache: &self.cache,
+        };
         apply(&mut self.places, view);
     }
 }
--- /dev/null
+++ b/crates/routing/src/board.rs
@@ -0,0 +1,180 @@
+//! One placement decision over the targets of a slice.
+//!
+//! A [`Board`] is the state of a slice as its admitting VM counts it: who
+//! lives, and how many requests each target holds. The order of preference is
+//! the target that holds the chat's context, a short wait for a place there,
+//! then the chat's own rendezvous order. No target is given a place above the
+//! bound, whatever the preference.
+
+use briarshift_units::{ChatKey, Span, Start, TargetId};
+
+use crate::{bound, rank};
+
+/// One live target.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Seat<'a> {
+    /// The target.
+    pub target: &'a TargetId,
+    /// Start number of its process.
+    pub start: Start,
+    /// Requests it holds.
+    pub load: u32,
+    /// Of these, overnight work.
+    pub overnight: u32,
+}
+
+/// What bounds a target's load.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Bound {
+    /// A multiple of the pool's mean load.
+    Mean {
+        /// The multiple.
+        factor: f64,
+        /// Share of a target's places that overnight work may take.
+        overnight_share: f64,
+    },
+    /// A fixed count.
+    Fixed(u32),
+}
+
+/// The targets of a slice, with what is known of the rest of the pool.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Board<'a> {
+    /// Live targets of the slice.
+    pub seats: Vec<Seat<'a>>,
+    /// What bounds them.
+    pub bound: Bound,
+    /// Load of the pool's other slices, less what may be counted here but has
+    /// not arrived at its target or has ended unheard.
+    pub other_load: i64,
+    /// Targets of the pool that count for its mean, beside the seats.
+    pub other_targets: u32,
+}
+
+/// A request that needs a place.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Want<'a> {
+    /// Its chat.
+    pub chat: ChatKey,
+    /// The target that holds its context, and that target's start number then.
+    pub held_on: Option<(&'a TargetId, Start)>,
+    /// Targets it must not run on.
+    pub avoid: &'a [TargetId],
+    /// Overnight work.
+    pub overnight: bool,
+    /// How much longer it may wait for the target that holds its context.
+    pub patience: Span,
+}
+
+/// Why a target was chosen.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Why {
+    /// It holds the chat's context.
+    HoldsContext,
+    /// First in the chat's rendezvous order.
+    Rank,
+    /// Next in that order: those before it are at the bound.
+    NextRank,
+}
+
+impl Why {
+    /// A stable name for logs.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::HoldsContext => "holds_context",
+            Self::Rank => "rank",
+            Self::NextRank => "next_rank",
+        }
+    }
+}
+
+/// A decision.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Choice {
+    /// The seat with this index.
+    Seat(usize, Why),
+    /// The target that holds the context has no place yet: worth a short wait.
+    WaitForContext,
+    /// No target has a place.
+    WaitForAny,
+    /// No target may run it.
+    Empty,
+}
+
+impl Board<'_> {
+    /// Most requests one target may hold, the next one included.
+    pub fn cap(&self) -> u32 {
+        match self.bound {
+            Bound::Fixed(cap) => cap,
+            Bound::Mean { factor, .. } => {
+                let own: i64 = self.seats.iter().map(|seat| i64::from(seat.load)).sum();
+                let load = u32::try_from((own + self.other_load).max(0)).unwrap_or(u32::MAX);
+                bound::cap(factor, load, self.seats.len() as u32 + self.other_targets)
+            }
+        }
+    }
+
+    /// Decides for one request.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use briarshift_routing::board::{Board, Bound, Choice, Seat, Want, Why};
+    /// use briarshift_units::{ChatKey, Span, Start};
+    /// let id = "e-1".parse().unwrap();
+    /// let seat = Seat { target: &id, start: Start(1), load: 0, overnight: 0 };
+    /// let bound = Bound::Fixed(1);
+    /// let board = Board { seats: vec![seat], bound, other_load: 0, other_targets: 0 };
+    /// let held_on = Some((&id, Start(1)));
+    /// let patience = Span::ZERO;
+    /// let want = Want { chat: ChatKey(1), held_on, avoid: &[], overnight: false, patience };
+    /// assert_eq!(board.choose(&want), Choice::Seat(0, Why::HoldsContext));
+    /// ```
+    pub fn choose(&self, want: &Want<'_>) -> Choice {
+        let cap = self.cap();
+        let seats = self.seats.iter().enumerate();
+        let allowed = seats.filter(|(_, seat)| !want.avoid.contains(seat.target));
+        let allowed: Vec<_> = allowed.collect();
+        if allowed.is_empty() {
+            return Choice::Empty;
+        }
+        let held = want.held_on.and_then(|(id, start)| {
+            allowed.iter().find(|(_, seat)| seat.target == id && seat.start == start)
+        });
+        if let Some(&(index, seat)) = held {
+            if self.has_room(seat, want.overnight, cap) {
+                return Choice::Seat(index, Why::HoldsContext);
+            }
+            if Span::ZERO < want.patience {
+                return Choice::WaitForContext;
+            }
+        }
+        let open = allowed.iter().filter(|(_, seat)| self.has_room(seat, want.overnight, cap));
+        let Some(&(index, _)) = rank::best(want.chat, open, |(_, seat)| seat.target.as_str())
+        else {
+            return Choice::WaitForAny;
+        };
+        let first = rank::best(want.chat, &allowed, |(_, seat)| seat.target.as_str());
+        let is_first = first.is_some_and(|&(first, _)| first == index);
+        Choice::Seat(index, if is_first { Why::Rank } else { Why::NextRank })
+    }
+
+    /// Counts a request on a seat.
+    pub fn take(&mut self, index: usize, overnight: bool) {
+        let seat = &mut self.seats[index];
+        seat.load += 1;
+        seat.overnight += u32::from(overnight);
+    }
+
+    fn has_room(&self, seat: &Seat<'_>, overnight: bool, cap: u32) -> bool {
+        if cap <= seat.load {
+            return false;
+        }
+        match self.bound {
+            Bound::Mean { overnight_share, .. } if overnight => {
+                seat.overnight < bound::overnight(overnight_share, cap)
+            }
+            _ => true,
+        }
+    }
+}
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -4,6 +4,9 @@
 //! reads a clock or draws random numbers. The control reducer owns the state
 //! and calls these functions; the benchmarks and property tests call the same.
 
+pub mod board;
 pub mod bound;
+pub mod bucket;
+pub mod queue;
 pub mod rank;
 pub mod token;
--- a/crates/routing/src/rank.rs
+++ b/crates/routing/src/rank.rs
@@ -37,3 +37,22 @@
     items.sort_by_cached_key(|item| Reverse(score(chat, name(item))));
     items
 }
+
+/// The best of the named items for a chat, in one pass.
+///
+/// # Examples
+///
+/// ```
+/// use briarshift_routing::rank::{best, order};
+/// use briarshift_units::ChatKey;
+/// let names = ["a", "b", "c"];
+/// assert_eq!(best(ChatKey(9), names, |name| name), Some(order(ChatKey(9), names.to_vec(), |name| name)[0]));
+/// ```
+pub fn best<T>(
+    chat: ChatKey,
+    items: impl IntoIterator<Item = T>,
+    name: impl Fn(&T) -> &str,
+) -> Option<T> {
+    // `min_by_key` keeps the first of equals, as the stable sort above does.
+    items.into_iter().min_by_key(|item| Reverse(score(chat, name(item))))
+}
--- a/crates/wire/src/place.rs
+++ b/crates/wire/src/place.rs
@@ -3,7 +3,7 @@
 //! One VM admits for each pool slice and counts its places exactly. Others
 //! ask it for a place, and release the place when the request has ended.
 
-use briarshift_units::{AccountId, ChatKey, PoolId, RequestId, Start, TargetId};
+use briarshift_units::{AccountId, ChatKey, PoolId, RequestId, Start, TargetId, VmId};
 use serde::{Deserialize, Serialize};
 
 /// Asks for a place.
@@ -32,8 +32,13 @@
     Full,
     /// No live target in the pool.
     Empty,
-    /// The receiver does not admit for this pool.
+    /// No VM could be found that admits for this pool.
     NotAdmitting,
+    /// The account is over its limit.
+    Limit {
+        /// When to try again, in milliseconds.
+        retry_after_ms: u32,
+    },
 }
 
 /// A place held on a target by the sender.
@@ -43,13 +48,38 @@
     pub request: RequestId,
     /// Where it runs.
     pub target: TargetId,
+    /// Whether it is overnight work.
+    pub overnight: bool,
 }
 
+/// A part of a pool that one VM admits for: `parts + index`, so that the
+/// number tells into how many parts (a power of two) the pool is cut. A whole
+/// pool is slice 1.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct Slice(pub u32);
+
 /// What VMs say about places.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Message {
     /// Wants a place.
-    Ask(Ask),
+    Ask {
+        /// What for.
+        ask: Ask,
+        /// Of which part of the pool.
+        slice: Slice,
+        /// Time the request has waited already, in milliseconds.
+        waited_ms: u32,
+        /// The VM that should have answered and did not.
+        missing: Option<VmId>,
+        /// Requests of the sender that have ended, carried along.
+        released: Vec<RequestId>,
+    },
+    /// No place yet: the request waits in the sender's queue.
+    Queued {
+        /// The request.
+        request: RequestId,
+    },
     /// Gives a place.
     Grant {
         /// The request.
@@ -64,16 +94,34 @@
         /// Why.
         reason: Denial,
     },
-    /// The request has ended, or its caller went away before the grant.
-    Release {
+    /// The sender does not admit; another VM does.
+    Redirect {
         /// The request.
         request: RequestId,
+        /// Who admits, as the sender believes.
+        to: VmId,
+    },
+    /// Requests that have ended, or whose caller went away before the grant.
+    Release {
+        /// The requests.
+        requests: Vec<RequestId>,
+    },
+    /// The sender is about to admit for a slice: answer with [`Self::Hold`].
+    Want {
+        /// The pool.
+        pool: PoolId,
+        /// The slice.
+        slice: Slice,
     },
-    /// All places the sender holds in a pool, for a new admitting VM.
+    /// All places the sender holds in a slice.
     Hold {
         /// The pool.
         pool: PoolId,
+        /// The slice.
+        slice: Slice,
         /// The places.
         places: Vec<Held>,
+        /// The sender itself admits for the slice and ranks first.
+        admitting: bool,
     },
 }
