--- /dev/null
+++ b/crates/routing/tests/all/board.rs
@@ -0,0 +1,96 @@
+//! No target is placed on above the bound, and none under it is passed over
+//! for one above.
+
+use briarshift_routing::board::{Board, Bound, Choice, Seat, Want, Why};
+use briarshift_units::{ChatKey, Span, Start, TargetId};
+use proptest::prelude::*;
+
+fn ids(count: usize) -> Vec<TargetId> {
+    (0..count).map(|i| format!("e-{i}").parse().unwrap()).collect()
+}
+
+fn seats<'a>(ids: &'a [TargetId], loads: &[(u32, u32)]) -> Vec<Seat<'a>> {
+    let rows = ids.iter().zip(loads);
+    rows.map(|(target, &(interactive, overnight))| Seat {
+        target,
+        start: Start(1),
+        load: interactive + overnight,
+        overnight,
+    })
+    .collect()
+}
+
+fn check(held_load: u32, patience: u64, expected: Choice) {
+    let ids = ids(3);
+    let bound = Bound::Fixed(4);
+    let seats = seats(&ids, &[(held_load, 0), (4, 0), (0, 0)]);
+    let board = Board { seats, bound, other_load: 0, other_targets: 0 };
+    let held_on = Some((&ids[0], Start(1)));
+    let patience = Span::from_millis(patience);
+    let want = Want { chat: ChatKey(7), held_on, avoid: &[], overnight: false, patience };
+    assert_eq!(board.choose(&want), expected);
+}
+
+#[test]
+fn context_first_then_wait_then_rank() {
+    check(3, 0, Choice::Seat(0, Why::HoldsContext));
+    check(4, 5, Choice::WaitForContext);
+    check(4, 0, Choice::Seat(2, Why::NextRank));
+}
+
+#[test]
+fn a_restarted_target_holds_no_context() {
+    let ids = ids(2);
+    let seats = seats(&ids, &[(9, 0), (0, 0)]);
+    let board = Board { seats, bound: Bound::Fixed(9), other_load: 0, other_targets: 0 };
+    let held_on = Some((&ids[0], Start(0)));
+    let patience = Span::from_secs(1);
+    let want = Want { chat: ChatKey(7), held_on, avoid: &[], overnight: false, patience };
+    assert!(matches!(board.choose(&want), Choice::Seat(1, _)));
+}
+
+proptest! {
+    #[test]
+    fn the_bound_holds(
+        loads in prop::collection::vec((0_u32..40, 0_u32..10), 1..12),
+        factor in 1.0..2.0_f64,
+        overnight_share in 0.0..1.0_f64,
+        other_load in -20_i64..200,
+        other_targets in 0_u32..10,
+        chat: u64,
+        held in prop::option::of(0_usize..12),
+        avoid in prop::collection::vec(0_usize..12, 0..3),
+        overnight: bool,
+        patience in 0_u64..2,
+    ) {
+        let ids = ids(12);
+        let bound = Bound::Mean { factor, overnight_share };
+        let board = Board { seats: seats(&ids, &loads), bound, other_load, other_targets };
+        let avoid: Vec<_> = avoid.into_iter().map(|i| ids[i].clone()).collect();
+        let held_on = held.map(|i| (&ids[i], Start(1)));
+        let patience = Span(patience);
+        let want = Want { chat: ChatKey(chat), held_on, avoid: &avoid, overnight, patience };
+        let cap = board.cap();
+        let own: u32 = loads.iter().map(|load| load.0 + load.1).sum();
+        let mean = (f64::from(own) + other_load as f64).max(0.0) + 1.0;
+        let mean = mean / (loads.len() as f64 + f64::from(other_targets));
+        prop_assert_eq!(cap, (factor * mean).ceil() as u32);
+        let share = (overnight_share * f64::from(cap)).floor().max(1.0) as u32;
+        let open = |seat: &Seat<'_>| {
+            seat.load < cap && (!overnight || seat.overnight < share)
+        };
+        let allowed = || board.seats.iter().filter(|seat| !avoid.contains(seat.target));
+        match board.choose(&want) {
+            Choice::Seat(index, _) => {
+                prop_assert!(open(&board.seats[index]));
+                prop_assert!(!avoid.contains(board.seats[index].target));
+            }
+            Choice::WaitForContext => {
+                let held = held_on.and_then(|(id, _)| allowed().find(|seat| seat.target == id));
+                prop_assert!(held.is_some_and(|seat| !open(seat)) && Span::ZERO < patience);
+            }
+            Choice::WaitForAny => prop_assert!(!allowed().any(open)),
+            Choice::Empty => prop_assert_eq!(allowed().count(), 0),
+        }
+    }
+}
