--- /dev/null
+++ b/benches/policy/fleet.rs
@@ -0,0 +1,180 @@
+//! The project's own policy: the real placement reducers of N VMs.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use briarshift_control::{Context, Effect, Identity, Output, Signal, cache, member, place, target};
+use briarshift_platform::{Listed, Role, Standing};
+use briarshift_settings::Document;
+use briarshift_target::Failure;
+use briarshift_units::{Moment, RequestId, Start, TargetId, VmId, WallTime};
+use briarshift_wire::Message;
+use briarshift_wire::place::Ask;
+
+use crate::policy::{Action, Known, Policy};
+
+/// The id of a VM by its index.
+pub fn vm_id(index: usize) -> VmId {
+    format!("vm-{index}").parse().expect("digits make an id")
+}
+
+fn address() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 1))
+}
+
+struct Vm {
+    me: Identity,
+    places: place::State,
+    targets: target::State,
+    members: member::State,
+    cache: cache::State,
+}
+
+impl Vm {
+    fn new(index: usize, start: u64) -> Self {
+        let me = Identity {
+            vm: vm_id(index),
+            start: Start(start),
+            data_centre: "dc-a".parse().expect("an id"),
+            address: address(),
+            environment: "bench".into(),
+            token_key: [1; 32],
+        };
+        Self {
+            me,
+            places: place::State::default(),
+            targets: target::State::default(),
+            members: member::State::default(),
+            cache: cache::State::default(),
+        }
+    }
+}
+
+/// The fleet.
+pub struct Fleet {
+    vms: Vec<Vm>,
+    document: Rc<Document>,
+}
+
+impl Fleet {
+    /// A fleet of VMs that know nothing.
+    pub fn make(vms: usize, document: &Rc<Document>, _: u64) -> Box<dyn Policy> {
+        let vms = (0..vms).map(|index| Vm::new(index, 1)).collect();
+        Box::new(Self { vms, document: Rc::clone(document) })
+    }
+
+    fn with(
+        &mut self,
+        at: Moment,
+        vm: usize,
+        actions: &mut Vec<Action>,
+        apply: impl FnOnce(&mut place::State, &Context<'_>, place::View<'_>, &mut Output),
+    ) {
+        let index = vm;
+        let vm = &mut self.vms[vm];
+        let ctx = Context { at, wall: WallTime(0), entropy: 0, me: &vm.me };
+        let view = place::View {
+            targets: &vm.targets,
+            members: &vm.members,
+            document: &self.document,
+            cache: &vm.cache,
+        };
+        let mut out = Output::default();
+        apply(&mut vm.places, &ctx, view, &mut out);
+        for effect in out.effects {
+            match effect {
+                Effect::Send { to, message, .. } => actions.push(Action::Send(index, to, message)),
+                Effect::Log(record) => actions.push(Action::Log(index, record)),
+                _ => {}
+            }
+        }
+        for signal in out.signals {
+            let Signal::Placed(verdict) = signal else { continue };
+            actions.push(match verdict.place {
+                Ok(target) => Action::Place(verdict.request, target),
+                Err(denial) => Action::Deny(verdict.request, denial),
+            });
+        }
+    }
+}
+
+impl Policy for Fleet {
+    fn name(&self) -> &'static str {
+        "briarshift"
+    }
+
+    fn arrive(&mut self, at: Moment, vm: usize, ask: Ask, out: &mut Vec<Action>) {
+        self.with(at, vm, out, |places, ctx, view, out| places.ask(ctx, view, ask, out));
+    }
+
+    fn end(&mut self, at: Moment, vm: usize, request: RequestId, out: &mut Vec<Action>) {
+        self.with(at, vm, out, |places, ctx, view, out| places.release(ctx, view, request, out));
+    }
+
+    fn suspect(&mut self, vm: usize, target: &TargetId) {
+        self.vms[vm].targets.suspect(target);
+    }
+
+    fn reports(&mut self, at: Moment, vm: usize, known: &[Known], _: &mut Vec<Action>) {
+        let vm = &mut self.vms[vm];
+        let ctx = Context { at, wall: WallTime(0), entropy: 0, me: &vm.me };
+        for known in known {
+            let failed = || Failure::NotSent("down".into());
+            let result = known.report.clone().ok_or_else(failed);
+            vm.targets.load(&ctx, &known.id, result, &mut Output::default());
+        }
+    }
+
+    fn engines(&mut self, _: Moment, vm: usize, listed: &[(TargetId, bool)]) {
+        let rows = listed.iter().map(|(id, leaving)| Listed {
+            vm: id.as_str().parse().expect("an id"),
+            role: Role::Target { pool: self.document.pools[0].id.clone() },
+            data_centre: "dc-a".parse().expect("an id"),
+            address: address(),
+            standing: if *leaving { Standing::Leaving } else { Standing::Live },
+        });
+        let rows: Vec<_> = rows.collect();
+        self.vms[vm].targets.list(&rows);
+    }
+
+    fn vms(&mut self, at: Moment, vm: usize, listed: &[VmId]) {
+        let rows = listed.iter().map(|id| Listed {
+            vm: id.clone(),
+            role: Role::Entry,
+            data_centre: "dc-a".parse().expect("an id"),
+            address: address(),
+            standing: Standing::Live,
+        });
+        let rows: Vec<_> = rows.collect();
+        let vm = &mut self.vms[vm];
+        let ctx = Context { at, wall: WallTime(0), entropy: 0, me: &vm.me };
+        vm.members = member::State::default();
+        vm.members.list(&ctx, &rows);
+    }
+
+    fn deliver(
+        &mut self,
+        at: Moment,
+        vm: usize,
+        from: VmId,
+        message: Message,
+        out: &mut Vec<Action>,
+    ) {
+        let Message::Place(message) = message else { return };
+        self.with(at, vm, out, |places, ctx, view, out| {
+            places.peer(ctx, view, &from, message, out);
+        });
+    }
+
+    fn tick(&mut self, at: Moment, vm: usize, out: &mut Vec<Action>) {
+        self.with(at, vm, out, place::State::tick);
+    }
+
+    fn restart(&mut self, at: Moment, vm: usize) {
+        self.vms[vm] = Vm::new(vm, at.0);
+    }
+
+    fn is_distributed(&self) -> bool {
+        true
+    }
+}
--- a/crates/control/src/place/admit.rs
+++ b/crates/control/src/place/admit.rs
@@ -18,8 +18,14 @@
 
 /// How long a grant may be under way to its target.
 const GRANT_TRANSIT: Span = Span::from_millis(10);
-/// Over how long releases are counted, to tell how many more are under way.
-const RELEASE_WINDOW: Span = Span::from_millis(40);
+/// Over how long releases are counted, to tell their rate.
+const RELEASE_WINDOW: Span = Span::from_secs(1);
+/// Mean time from a request's end to its release here: it is carried along
+/// with other messages.
+const RELEASE_TRANSIT: Span = Span::from_millis(16);
+/// Standard deviations of the number of releases under way that are allowed
+/// for.
+const RELEASE_SIGMAS: f64 = 3.0;
 /// Shortest wait for a VM that is doubted to say that it admits.
 const PROBE: Span = Span::from_millis(50);
 /// Longest wait for other VMs to tell what they hold.
@@ -330,8 +336,9 @@
         };
         let (other_load, other_targets) = roster.others(key);
         let transit = self.grants.count(at, GRANT_TRANSIT);
-        let unheard = self.releases.count(at, RELEASE_WINDOW);
-        let other_load = other_load as i64 - transit - unheard;
+        let rate = self.releases.count(at, RELEASE_WINDOW) as f64 / RELEASE_WINDOW.as_secs_f64();
+        let ended = unheard(rate * RELEASE_TRANSIT.as_secs_f64());
+        let other_load = other_load as i64 - transit - ended;
         Board { seats, bound, other_load, other_targets }
     }
 
@@ -372,6 +379,11 @@
     }
 }
 
+/// Most requests that may have ended unheard, where `mean` have on average.
+fn unheard(mean: f64) -> i64 {
+    (mean + RELEASE_SIGMAS * mean.sqrt() + 1.0).ceil() as i64
+}
+
 fn want<'a>(at: Moment, view: View<'_>, pool: &Pool, waiting: &'a Waiting) -> Want<'a> {
     let ask = &waiting.ask;
     let place_wait = match &pool.kind {
