--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -1,6 +1,7 @@
 //! Starts and stops an entry VM's process.
 
 use std::net::{SocketAddr, TcpListener};
+use std::path::Path;
 use std::rc::Rc;
 use std::thread;
 use std::time::Duration;
@@ -10,18 +11,18 @@
 use actix_web::dev::{Server, ServerHandle};
 use actix_web::{App, HttpServer, web};
 use anyhow::{Context, anyhow};
-use briarshift_control::Identity;
-use briarshift_peer::Transport;
+use briarshift_control::{Identity, Kind};
+use briarshift_peer::{Config, Link, Received, Tls};
 use briarshift_platform::http::Client as Platform;
 use briarshift_settings::Process;
 use briarshift_target::Target;
 use briarshift_target::http::Client as Targets;
-use briarshift_units::Span;
-use tokio::sync::oneshot;
+use briarshift_units::{BytesPerSecond, Span};
+use tokio::sync::{mpsc, oneshot};
 
 use crate::caller::{self, MAX_BODY};
 use crate::clock;
-use crate::control::{Control, Drain};
+use crate::control::{Control, Drain, Input};
 use crate::driver::Driver;
 use crate::metric::Metrics;
 use crate::operator;
@@ -47,6 +48,7 @@
 pub struct Daemon {
     caller: SocketAddr,
     operator: SocketAddr,
+    peer: SocketAddr,
     control: Addr<Control>,
     servers: Vec<ServerHandle>,
     stop: oneshot::Sender<()>,
@@ -58,6 +60,7 @@
 struct Running {
     caller: SocketAddr,
     operator: SocketAddr,
+    peer: SocketAddr,
     control: Addr<Control>,
     servers: Vec<ServerHandle>,
     stop: oneshot::Sender<()>,
@@ -80,8 +83,8 @@
             let result = thread.join().map_err(|_| anyhow!("the control thread panicked"))?;
             return Err(result.err().unwrap_or_else(|| anyhow!("the daemon ended at once")));
         };
-        let Running { caller, operator, control, servers, stop } = running;
-        Ok(Self { caller, operator, control, servers, stop, thread, drain })
+        let Running { caller, operator, peer, control, servers, stop } = running;
+        Ok(Self { caller, operator, peer, control, servers, stop, thread, drain })
     }
 
     /// Where callers connect.
@@ -94,6 +97,11 @@
         self.operator
     }
 
+    /// Where peers connect.
+    pub fn peer_address(&self) -> SocketAddr {
+        self.peer
+    }
+
     /// Shuts down gracefully: takes no new request, waits for those in flight,
     /// at most as long as the settings say, and ends.
     ///
@@ -132,17 +140,20 @@
 
 async fn serve(process: Process, ready: std::sync::mpsc::Sender<Running>) -> anyhow::Result<()> {
     let (stop, stopped) = oneshot::channel::<()>();
-    let me = identity(&process)?;
+    let (link, received) = link(&process)?;
+    let peer = link.address();
+    let me = identity(&process, peer)?;
     log::info!("event=start vm={} start={} data_centre={}", me.vm, me.start, me.data_centre);
-    let metrics = Metrics::new(&process.vm)?;
+    let metrics = Metrics::new(&process.vm, &link.gauge())?;
     let platform = Rc::new(Platform::new(&process.platform, PLATFORM_TIMEOUT));
     let driver = Driver {
         store: platform.clone(),
         vms: platform,
         targets: targets(),
-        peers: Box::new(Silent),
+        peers: Box::new(link),
     };
     let control = Control::new(me, driver, metrics.clone()).start();
+    actix_rt::spawn(hear(received, control.clone()));
 
     let listener = bind(process.caller_address)?;
     let caller = listener.local_addr()?;
@@ -155,13 +166,37 @@
     actix_rt::spawn(callers);
     actix_rt::spawn(operators);
     ready
-        .send(Running { caller, operator, control, servers, stop })
+        .send(Running { caller, operator, peer, control, servers, stop })
         .map_err(|_| anyhow!("the starter is gone"))?;
     // An error means that the handle was dropped: end then too.
     let _ = stopped.await;
     Ok(())
 }
 
+fn link(process: &Process) -> anyhow::Result<(Link, mpsc::Receiver<Received>)> {
+    let read = |path: &Path| {
+        std::fs::read(path).with_context(|| {
+            format!("cannot read {}: make certificates with 'briarshift keys'", path.display())
+        })
+    };
+    let tls = Tls {
+        ca: read(&process.tls.ca)?,
+        certificate: read(&process.tls.certificate)?,
+        key: read(&process.tls.key)?,
+    };
+    let config =
+        Config::builder(process.fleet.clone(), process.vm.clone(), process.peer_address, tls);
+    let budget = BytesPerSecond(process.control_bytes_per_second);
+    Link::bind(config.budget(budget).build()).context("cannot start the peer listener")
+}
+
+/// Hands peers' messages to the control thread.
+async fn hear(mut received: mpsc::Receiver<Received>, control: Addr<Control>) {
+    while let Some(Received { from, message, .. }) = received.recv().await {
+        control.do_send(Input(Kind::Peer { from, message }));
+    }
+}
+
 fn bind(address: SocketAddr) -> anyhow::Result<TcpListener> {
     TcpListener::bind(address)
         .with_context(|| format!("cannot listen on {address}: choose a free address of this VM"))
@@ -171,7 +206,7 @@
     Rc::new(Targets::new(POLL_TIMEOUT, HEAD_TIMEOUT))
 }
 
-fn identity(process: &Process) -> anyhow::Result<Identity> {
+fn identity(process: &Process, address: SocketAddr) -> anyhow::Result<Identity> {
     let mut token_key = [0; 32];
     hex::decode_to_slice(process.token_key.as_str(), &mut token_key)
         .context("token_key must be 64 hexadecimal digits")?;
@@ -179,7 +214,7 @@
         vm: process.vm.clone(),
         start: clock::start(),
         data_centre: process.data_centre.clone(),
-        address: process.peer_address,
+        address,
         environment: process.environment.clone(),
         token_key,
     })
@@ -229,18 +264,3 @@
         .context("cannot start the operators' listener")?;
     Ok(server.run())
 }
-
-/// Stands in until the peer transport is set up.
-struct Silent;
-
-impl Transport for Silent {
-    fn send(
-        &self,
-        _to: &briarshift_units::VmId,
-        _address: SocketAddr,
-        _message: briarshift_wire::Message,
-    ) {
-    }
-
-    fn close(self: Box<Self>) {}
-}
--- a/crates/daemon/src/metric.rs
+++ b/crates/daemon/src/metric.rs
@@ -3,9 +3,10 @@
 use anyhow::Context;
 use briarshift_control::Record;
 use briarshift_control::status::Counts;
+use briarshift_peer::{Drop, Gauge, Kind, Refusal, Snapshot};
 use briarshift_units::{Revision, VmId};
 use opentelemetry::KeyValue;
-use opentelemetry::metrics::{Counter, Gauge, MeterProvider};
+use opentelemetry::metrics::{AsyncInstrument, Counter, Gauge as Instrument, Meter, MeterProvider};
 use opentelemetry_sdk::Resource;
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Registry, TextEncoder};
@@ -18,14 +19,14 @@
     _provider: SdkMeterProvider,
     events: Counter<u64>,
     refusals: Counter<u64>,
-    revision: Gauge<u64>,
-    in_flight: Gauge<u64>,
-    members: Gauge<u64>,
-    targets: Gauge<u64>,
+    revision: Instrument<u64>,
+    in_flight: Instrument<u64>,
+    members: Instrument<u64>,
+    targets: Instrument<u64>,
 }
 
 impl Metrics {
-    pub(crate) fn new(vm: &VmId) -> anyhow::Result<Self> {
+    pub(crate) fn new(vm: &VmId, peers: &Gauge) -> anyhow::Result<Self> {
         let registry = Registry::new();
         let exporter = opentelemetry_prometheus::exporter()
             .with_registry(registry.clone())
@@ -38,6 +39,7 @@
         let provider =
             SdkMeterProvider::builder().with_reader(exporter).with_resource(resource).build();
         let meter = provider.meter("briarshift");
+        observe_peers(&meter, peers);
         Ok(Self {
             registry,
             events: meter
@@ -93,3 +95,42 @@
         TextEncoder::new().encode_to_string(&families).context("cannot encode the metrics")
     }
 }
+
+/// Shows the transport's counters whenever they are scraped.
+fn observe_peers(meter: &Meter, peers: &Gauge) {
+    let counter = |name, description, show: fn(&Snapshot, &dyn AsyncInstrument<u64>)| {
+        let peers = peers.clone();
+        meter
+            .u64_observable_counter(name)
+            .with_description(description)
+            .with_callback(move |instrument| show(&peers.snapshot(), instrument))
+            .build();
+    };
+    counter("briarshift_peer_sent_bytes", "Frame bytes sent to peers", |peers, out| {
+        for kind in Kind::ALL {
+            out.observe(peers.sent(kind).bytes, &[KeyValue::new("kind", kind.to_string())]);
+        }
+    });
+    counter("briarshift_peer_received_bytes", "Frame bytes received from peers", |peers, out| {
+        for kind in Kind::ALL {
+            out.observe(peers.received(kind).bytes, &[KeyValue::new("kind", kind.to_string())]);
+        }
+    });
+    counter(
+        "briarshift_peer_udp_sent_bytes",
+        "Datagram bytes sent, QUIC's included",
+        |peers, out| {
+            out.observe(peers.udp_sent, &[]);
+        },
+    );
+    counter("briarshift_peer_dropped_frames", "Frames dropped at this end", |peers, out| {
+        for reason in Drop::ALL {
+            out.observe(peers.dropped(reason), &[KeyValue::new("reason", reason.label())]);
+        }
+    });
+    counter("briarshift_peer_refusals", "Connections closed at this end", |peers, out| {
+        for reason in Refusal::ALL {
+            out.observe(peers.refused(reason), &[KeyValue::new("reason", reason.to_string())]);
+        }
+    });
+}
--- a/src/bin/briarshift.rs
+++ b/src/bin/briarshift.rs
@@ -4,7 +4,7 @@
 use std::process::ExitCode;
 
 use actix_rt::System;
-use briarshift::commands::{drain, keys, serve, status};
+use briarshift::commands::{demo, drain, keys, serve, status};
 use gumdrop::Options;
 
 /// Command line.
@@ -20,6 +20,8 @@
 enum Command {
     /// run an entry VM
     Serve(serve::Options),
+    /// run a whole fleet on loopback and print what came of it
+    Demo(demo::Options),
     /// show what VMs report of themselves
     Status(status::Options),
     /// tell a VM to take no new requests
@@ -53,6 +55,7 @@
 fn run(command: &Command) -> anyhow::Result<()> {
     match command {
         Command::Serve(options) => serve::run(options),
+        Command::Demo(options) => System::new().block_on(demo::run(options)),
         Command::Status(options) => System::new().block_on(status::run(options)),
         Command::Drain(options) => System::new().block_on(drain::run(options)),
         Command::Keys(options) => keys::run(options),
--- a/src/commands/serve.rs
+++ b/src/commands/serve.rs
@@ -30,7 +30,12 @@
         let mut terminate = signal(SignalKind::terminate()).context("cannot wait for SIGTERM")?;
         let mut interrupt = signal(SignalKind::interrupt()).context("cannot wait for SIGINT")?;
         let daemon = Daemon::start(briarshift_daemon::Options { process })?;
-        println!("listening {} {}", daemon.caller_address(), daemon.operator_address());
+        println!(
+            "listening callers={} operators={} peers={}",
+            daemon.caller_address(),
+            daemon.operator_address(),
+            daemon.peer_address()
+        );
         tokio::select! {
             _ = terminate.recv() => {}
             _ = interrupt.recv() => {}
@@ -47,5 +52,5 @@
 fn read(options: &Options) -> anyhow::Result<Process> {
     let path = options.settings.display();
     let text = std::fs::read(&options.settings).with_context(|| format!("cannot read {path}"))?;
-    serde_json::from_slice(&text).with_context(|| format!("{path} is not usable"))
+    Process::parse(&text).with_context(|| format!("{path} is not usable"))
 }
