Test the whole path with entry VMs as processes

Cause: only the demo, in one process, had shown the path.

Change: tests/all starts 'briarshift serve' processes around in-process stand-ins: returns through another VM (stream and JSON), bookings sent again, refusals that reach no target, SIGTERM with an answer in flight.

--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -1,1 +1,7 @@
-//! Integration tests: whole processes on loopback.
+//! Integration tests: entry VMs as processes on loopback, with the stand-ins
+//! around them.
+
+mod fleet;
+mod path;
+mod refusal;
+mod shutdown;
--- /dev/null
+++ b/tests/all/refusal.rs
@@ -0,0 +1,49 @@
+//! Bad requests get a typed JSON error with a remedy and reach no target.
+
+use std::time::Duration;
+
+use awc::ClientRequest;
+use briarshift::demo::plan::{CLIENTS, RUNNERS};
+
+use crate::fleet::{Fleet, engines};
+
+/// Sends a request and checks its refusal.
+async fn check(request: ClientRequest, body: Vec<u8>, status: u16, code: &str) {
+    let mut response = request.send_body(body).await.unwrap();
+    assert_eq!(response.status().as_u16(), status, "{code}");
+    let outcome = response.headers().get("Briarshift-Outcome").unwrap().clone();
+    assert_eq!(outcome.to_str().unwrap(), "not-run", "{code}");
+    let body: serde_json::Value = response.json().await.unwrap();
+    assert_eq!(body["error"]["code"], code);
+    let message = body["error"]["message"].as_str().unwrap();
+    assert!(message.contains(':'), "no remedy in {message:?}");
+}
+
+#[actix_rt::test]
+async fn bad_requests_reach_no_target() {
+    let fleet = Fleet::start(1, engines(1, 4, Duration::ZERO), 1).await;
+    let base = format!("http://{}", fleet.vms[0].callers);
+    let http = awc::Client::default();
+    let key = CLIENTS[0].key;
+    let chat = || http.post(format!("{base}/v1/chat/completions"));
+    let json = || chat().content_type("application/json").bearer_auth(key);
+    let good = br#"{"model":"rota-7b","messages":[{"role":"user","content":"hello"}]}"#;
+    let unknown = br#"{"model":"rota-9b","messages":[]}"#;
+    let large = || vec![b' '; 9 << 20];
+    let stranger = chat().content_type("application/json").bearer_auth("not-a-key");
+
+    check(chat().content_type("application/json"), good.into(), 401, "unauthenticated").await;
+    check(stranger, good.into(), 401, "unauthenticated").await;
+    check(json(), large(), 413, "body_too_large").await;
+    check(json(), b"{\"model\":".into(), 400, "bad_request").await;
+    check(json(), unknown.into(), 404, "unknown_model").await;
+    check(chat().content_type("text/plain").bearer_auth(key), good.into(), 415, "content_type")
+        .await;
+    let desk = |pool: &str| http.post(format!("{base}/desk/{pool}/bookings")).bearer_auth(key);
+    check(desk("no-desk"), b"{}".into(), 404, "unknown_desk").await;
+    check(desk(RUNNERS), b"{}".into(), 400, "idempotency_key_missing").await;
+    let keyed = desk(RUNNERS).insert_header(("Idempotency-Key", "a b"));
+    check(keyed, b"{}".into(), 400, "idempotency_key_invalid").await;
+    check(http.get(format!("{base}/v2/chat")), Vec::new(), 404, "unknown_path").await;
+    assert_eq!(fleet.total_runs(), 0);
+}
