--- a/src/commands/mod.rs
+++ b/src/commands/mod.rs
@@ -1,6 +1,8 @@
 //! Subcommands, a file each.
 
+pub mod demo;
 pub mod drain;
+pub mod keys;
 pub mod serve;
 pub mod status;
 
