--- a/crates/settings/tests/all/main.rs
+++ b/crates/settings/tests/all/main.rs
@@ -1,5 +1,6 @@
 //! Tests of settings: faults, schemas, builders and the examples.
 
 mod document;
+mod examples;
 mod process;
 mod schema;
