--- a/crates/target/src/http.rs
+++ b/crates/target/src/http.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use actix_web::http::Method as HttpMethod;
-use awc::error::SendRequestError;
+use awc::error::{ConnectError, SendRequestError};
 use briarshift_units::Span;
 use futures::future::{FutureExt, LocalBoxFuture};
 use futures::stream::StreamExt;
@@ -98,8 +98,13 @@
     }
 }
 
+/// Only a connection that was never made carried nothing. awc reports one that
+/// closed before the answer's head as a failed connect too (`Disconnected`).
 fn failure(err: &SendRequestError) -> Failure {
     match err {
+        SendRequestError::Connect(ConnectError::Disconnected) => {
+            Failure::Broken("the connection closed before the answer".into())
+        }
         SendRequestError::Connect(err) => Failure::NotSent(err.to_string().into()),
         SendRequestError::Url(err) => Failure::NotSent(err.to_string().into()),
         SendRequestError::Timeout => Failure::Timeout,
