--- a/crates/control/src/effect.rs
+++ b/crates/control/src/effect.rs
@@ -84,6 +84,8 @@
 pub enum Ticket {
     /// The environment document.
     Document,
+    /// What the data centre's VMs run.
+    Report,
     /// A booking's claim or outcome.
     Booking(Claim),
     /// A pool's order lease.
--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -97,6 +97,7 @@
             self.drained = true;
             out.push(Effect::Drained);
         }
+        document::fill(self.document.in_force(), &mut out.effects);
         out.effects
     }
 
@@ -107,15 +108,21 @@
                 requests.apply(ctx, view, event, out);
             }),
             Kind::Peer { from, message } => match message {
-                Message::Gossip(message) => self.members.gossip(ctx, &from, &message, out),
+                Message::Gossip(message) => {
+                    self.members.gossip(ctx, &from, &message, out);
+                    self.document.head(ctx, &self.members, &from, message.document, out);
+                }
                 Message::Place(message) => self.with_places(|places, view| {
                     places.peer(ctx, view, &from, message, out);
                 }),
-                Message::Document(_) => {}
+                Message::Document(message) => {
+                    self.document.peer(ctx, &self.members, &from, message, out);
+                }
                 Message::Poison(message) => self.poison.peer(ctx, &from, message, out),
             },
             Kind::Store { ticket, result } => match ticket {
                 Ticket::Document => self.document.store(ctx, result, out),
+                Ticket::Report => self.document.reported(&result),
                 Ticket::Booking(claim) => self.bookings.store(ctx, claim, result, out),
                 Ticket::Order(pool) => self.orders.store(ctx, &pool, result, out),
                 Ticket::Usage => self.usage.store(ctx, result, out),
@@ -133,7 +140,7 @@
     }
 
     fn tick(&mut self, ctx: &Context<'_>, out: &mut Output) {
-        self.document.tick(ctx, out);
+        self.document.tick(ctx, &self.members, out);
         self.members.tick(ctx, out);
         self.targets.tick(ctx, out);
         self.with_places(|places, view| places.tick(ctx, view, out));
--- /dev/null
+++ b/crates/environment/tests/all/main.rs
@@ -0,0 +1,1 @@
+//! Tests of environments in the store.
