--- a/crates/control/src/request/state.rs
+++ b/crates/control/src/request/state.rs
@@ -99,6 +99,7 @@
                 let reason = match denial {
                     Denial::Empty => Reason::NoTarget,
                     Denial::Full | Denial::NotAdmitting => Reason::Full,
+                    Denial::Limit { .. } => Reason::Limit,
                 };
                 self.deny(id, reason, out);
             }
--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -6,8 +6,8 @@
 
 use crate::status::{self, Counts, Status};
 use crate::{
-    Context, Effect, Event, Identity, Kind, Output, Signal, Ticket, booking, document, member,
-    order, place, poison, request, target, usage,
+    Context, Effect, Event, Identity, Kind, Output, Signal, Ticket, booking, cache, document,
+    member, order, place, poison, request, target, usage,
 };
 
 /// All that an entry VM knows.
@@ -18,6 +18,7 @@
     members: member::State,
     targets: target::State,
     places: place::State,
+    cache: cache::State,
     requests: request::State,
     bookings: booking::State,
     poison: poison::State,
@@ -35,6 +36,7 @@
             members: member::State::default(),
             targets: target::State::default(),
             places: place::State::default(),
+            cache: cache::State::default(),
             requests: request::State::default(),
             bookings: booking::State::default(),
             poison: poison::State::default(),
@@ -98,6 +100,7 @@
             self.drained = true;
             out.push(Effect::Drained);
         }
+        document::fill(self.document.in_force(), &mut out.effects);
         out.effects
     }
 
@@ -108,17 +111,23 @@
                 requests.apply(ctx, view, event, out);
             }),
             Kind::Peer { from, message } => match message {
-                Message::Gossip(message) => self.members.gossip(ctx, &from, &message, out),
+                Message::Gossip(message) => {
+                    self.members.gossip(ctx, &from, &message, out);
+                    self.document.head(ctx, &self.members, &from, message.document, out);
+                }
                 Message::Place(message) => self.with_places(|places, view| {
                     places.peer(ctx, view, &from, message, out);
                 }),
-                Message::Document(_) => {}
+                Message::Document(message) => {
+                    self.document.peer(ctx, &self.members, &from, message, out);
+                }
                 Message::Poison(message) => self.with_poison(|poison, view| {
                     poison.peer(ctx, view, &from, message, out);
                 }),
             },
             Kind::Store { ticket, result } => match ticket {
                 Ticket::Document => self.document.store(ctx, result, out),
+                Ticket::Report => self.document.reported(&result),
                 Ticket::Booking(claim) => self.bookings.store(ctx, claim, result, out),
                 Ticket::Order(pool) => self.orders.store(ctx, &pool, result, out),
                 Ticket::Usage => self.usage.store(ctx, result, out),
@@ -129,20 +138,21 @@
             }
             Kind::List(Err(_)) => {}
             Kind::Load { target, result } => self.targets.load(ctx, &target, result, out),
-            Kind::Changes { .. } => {}
+            Kind::Changes { target, result } => self.cache.changes(&target, result, out),
             Kind::Ordered { target, result } => self.orders.ordered(ctx, &target, result, out),
             Kind::Drain => self.requests.drain(),
         }
     }
 
     fn tick(&mut self, ctx: &Context<'_>, out: &mut Output) {
-        self.document.tick(ctx, out);
+        self.document.tick(ctx, &self.members, out);
         self.members.tick(ctx, out);
         self.targets.tick(ctx, out);
         self.with_places(|places, view| places.tick(ctx, view, out));
         self.with_requests(|requests, view| requests.tick(ctx, view, out));
         self.bookings.tick(ctx, out);
         self.with_poison(|poison, view| poison.tick(ctx, view, out));
+        self.cache.tick(ctx, &self.targets, self.places.admitted(), out);
         self.orders.tick(ctx, out);
         self.usage.tick(ctx, out);
     }
@@ -204,7 +214,12 @@
 
     fn with_places(&mut self, apply: impl FnOnce(&mut place::State, place::View<'_>)) {
         let Some(document) = self.document.current() else { return };
-        let view = place::View { targets: &self.targets, members: &self.members, document };
+        let view = place::View {
+            targets: &self.targets,
+            members: &self.members,
+            document,
+            cache: &self.cache,
+        };
         apply(&mut self.places, view);
     }
 }
