--- a/crates/control/src/place/admit.rs
+++ b/crates/control/src/place/admit.rs
@@ -13,6 +13,7 @@
 use briarshift_units::{Moment, RequestId, Span, TargetId, VmId};
 use briarshift_wire::place::{Ask, Denial, Held};
 
+use super::copies::{self, Copies};
 use super::{Key, Roster, View};
 use crate::{Output, Record};
 
@@ -82,6 +83,8 @@
     target: TargetId,
     overnight: bool,
     at: Moment,
+    /// `None` for a place that another VM told of.
+    chat: Option<copies::Key>,
 }
 
 #[derive(Debug, Clone, Copy, Default)]
@@ -119,6 +122,7 @@
     phase: Phase,
     places: BTreeMap<RequestId, Place>,
     counts: BTreeMap<TargetId, Count>,
+    copies: Copies,
     untold: BTreeMap<TargetId, Untold>,
     queue: Queue<Waiting>,
     grants: Recent,
@@ -131,6 +135,7 @@
             phase: Phase::Idle,
             places: BTreeMap::new(),
             counts: BTreeMap::new(),
+            copies: Copies::default(),
             untold: BTreeMap::new(),
             queue: Queue::default(),
             grants: Recent::default(),
@@ -204,7 +209,8 @@
         }
         for Held { request, target, overnight } in held {
             if !self.places.contains_key(&request) {
-                self.count(request, Place { vm: vm.clone(), target, overnight, at });
+                let chat = None;
+                self.count(request, Place { vm: vm.clone(), target, overnight, at, chat });
             }
         }
     }
@@ -272,7 +278,8 @@
         let mut board = self.board(at, view, roster, key, pool, targets);
         for slot in self.queue.slots() {
             let Some(waiting) = self.queue.get(slot) else { continue };
-            let choice = board.choose(&want(at, view, pool, waiting));
+            let avoid = self.copies.avoid(&waiting.ask, targets);
+            let choice = board.choose(&want(at, view, pool, waiting, &avoid));
             let waited = at.since(waiting.since);
             let place = match choice {
                 Choice::Seat(seat, why) => {
@@ -304,8 +311,8 @@
     ) -> Option<Answer> {
         let Waiting { vm, ask, .. } = self.queue.serve(slot)?;
         if let Ok(target) = &place {
-            let place =
-                Place { vm: vm.clone(), target: target.clone(), overnight: ask.overnight, at };
+            let (overnight, chat) = (ask.overnight, Some(copies::key(&ask)));
+            let place = Place { vm: vm.clone(), target: target.clone(), overnight, at, chat };
             self.count(ask.request, place);
             self.grants.add(at);
         }
@@ -363,6 +370,9 @@
     }
 
     fn count(&mut self, request: RequestId, place: Place) {
+        if let Some(chat) = &place.chat {
+            self.copies.add(chat.clone(), place.target.clone());
+        }
         let count = self.counts.entry(place.target.clone()).or_default();
         count.load += 1;
         count.overnight += u32::from(place.overnight);
@@ -370,6 +380,9 @@
     }
 
     fn uncount(&mut self, place: &Place) {
+        if let Some(chat) = &place.chat {
+            self.copies.remove(chat, &place.target);
+        }
         let Some(count) = self.counts.get_mut(&place.target) else { return };
         count.load -= 1;
         count.overnight -= u32::from(place.overnight);
@@ -384,7 +397,13 @@
     (mean + RELEASE_SIGMAS * mean.sqrt() + 1.0).ceil() as i64
 }
 
-fn want<'a>(at: Moment, view: View<'_>, pool: &Pool, waiting: &'a Waiting) -> Want<'a> {
+fn want<'a>(
+    at: Moment,
+    view: View<'_>,
+    pool: &Pool,
+    waiting: &'a Waiting,
+    avoid: &'a [TargetId],
+) -> Want<'a> {
     let ask = &waiting.ask;
     let place_wait = match &pool.kind {
         Kind::Engine(engine) => Span::from_millis(engine.place_wait_ms),
@@ -394,7 +413,7 @@
     Want {
         chat: ask.chat,
         held_on: held_on.filter(|(target, _)| !view.cache.has_evicted(target, ask.chat)),
-        avoid: &ask.avoid,
+        avoid,
         overnight: ask.overnight,
         patience: place_wait - at.since(waiting.since),
     }
--- a/crates/control/src/place/mod.rs
+++ b/crates/control/src/place/mod.rs
@@ -8,6 +8,7 @@
 //! VM is lost, [`duty`] lets another take over without admitting twice over.
 
 mod admit;
+mod copies;
 mod duty;
 mod entry;
 mod roster;
--- a/crates/control/tests/all/booking.rs
+++ b/crates/control/tests/all/booking.rs
@@ -6,7 +6,7 @@
 use briarshift_units::{RequestId, Span};
 use proptest::prelude::{Strategy, any, prop, prop_assert, prop_assert_eq, prop_oneof, proptest};
 
-use crate::world::{Faults, Told, World, booking, desk};
+use crate::world::{Document, Faults, Told, World, booking, desk};
 
 const VMS: usize = 3;
 
@@ -178,7 +178,7 @@
 fn a_resend_of_a_dead_vms_booking_is_unknown_and_never_runs() {
     let mut world = World::new(2, 1, 0, 1, Faults::default());
     world.send(0, booking(1, 0, "k", "body"));
-    world.run(15);
+    world.run_until(|world| world.rows() == 1);
     world.kill(0);
     world.send(1, booking(2, 0, "k", "body"));
     world.run(5_000);
@@ -204,8 +204,7 @@
 fn a_vanished_callers_booking_is_seen_through() {
     let mut world = World::new(2, 1, 0, 1, Faults::default());
     world.send(0, booking(1, 0, "k", "body"));
-    world.run(18);
-    assert_eq!(world.runs.len(), 1, "it runs by now");
+    world.run_until(|world| world.runs.len() == 1);
     world.vanish(0, RequestId(1));
     world.run(1_000);
     world.send(1, booking(2, 0, "k", "body"));
@@ -233,7 +232,7 @@
 
 #[test]
 fn outcomes_are_kept_for_the_retention_time_and_then_go() {
-    let mut world = World::with_retention(1, 1, 0, 1, Faults::default(), 100);
+    let mut world = World::with(1, 1, 0, 1, Document { retention_s: 100, ..Document::default() });
     for n in 0..30 {
         world.send(0, booking(n, 0, &format!("k-{n}"), "body"));
         world.run(4_000);
--- a/crates/control/tests/all/main.rs
+++ b/crates/control/tests/all/main.rs
@@ -2,4 +2,6 @@
 
 mod booking;
 mod poison;
+mod request;
+mod retry;
 mod world;
--- a/crates/control/tests/all/world/input.rs
+++ b/crates/control/tests/all/world/input.rs
@@ -12,10 +12,10 @@
     {"id": "a-1", "owner": "o", "key_sha256": "KEY1", "rate": {"per_second": 1e6, "burst": 1000000}}
   ],
   "pools": [
-    {"id": "desk", "owner": "o", "queue_wait_ms": 2000, "queue_length": 1000, "retry_share": 0.1,
+    {"id": "desk", "owner": "o", "queue_wait_ms": 2000, "queue_length": 1000, "retry_share": SHARE,
      "kind": {"runner": {"concurrency": 50, "timeout_ms": 3000, "retention_s": RETENTION,
                          "repeatable": [{"method": "GET", "path": "stock"}]}}},
-    {"id": "chat", "owner": "o", "queue_wait_ms": 5000, "queue_length": 1000, "retry_share": 0.1,
+    {"id": "chat", "owner": "o", "queue_wait_ms": 5000, "queue_length": 1000, "retry_share": SHARE,
      "kind": {"engine": {"load_factor": 1.5, "place_wait_ms": 100, "overnight_share": 0.5}}}
   ],
   "models": [{"id": "m", "pool": "chat"}]
@@ -64,10 +64,28 @@
     }
 }
 
-/// The environment document with two accounts, a desk and a chat pool.
-pub fn document(retention_s: u64) -> String {
-    DOCUMENT
-        .replace("KEY0", &credential(0).to_string())
-        .replace("KEY1", &credential(1).to_string())
-        .replace("RETENTION", &retention_s.to_string())
+/// What differs between the documents of tests.
+#[derive(Debug, Clone, Copy)]
+pub struct Document {
+    /// How long outcomes are kept, in seconds.
+    pub retention_s: u64,
+    /// Retries for each first attempt.
+    pub retry_share: f64,
+}
+
+impl Default for Document {
+    fn default() -> Self {
+        Self { retention_s: 86_400, retry_share: 0.1 }
+    }
+}
+
+impl Document {
+    /// The environment document with two accounts, a desk and a chat pool.
+    pub fn text(self) -> String {
+        DOCUMENT
+            .replace("KEY0", &credential(0).to_string())
+            .replace("KEY1", &credential(1).to_string())
+            .replace("RETENTION", &self.retention_s.to_string())
+            .replace("SHARE", &self.retry_share.to_string())
+    }
 }
--- a/crates/control/tests/all/world/mod.rs
+++ b/crates/control/tests/all/world/mod.rs
@@ -7,16 +7,17 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
-use briarshift_control::request::{Arrival, Decision, End, Outcome, Refusal, Send, Tokens};
-use briarshift_control::{Effect, Event, Identity, Kind, State, Ticket, booking, request};
+use briarshift_control::request::{Arrival, Outcome, Refusal};
+use briarshift_control::{Effect, Event, Identity, Kind, State, Ticket, request};
 use briarshift_platform::{Error, Expect, Listed, Operation, Reply, Role, Standing, Version};
 use briarshift_target::{Attempt, Failure, Report};
 use briarshift_units::{Digest, Moment, RequestId, Span, Start, TargetId, WallTime};
 
 mod input;
 mod store;
+mod target;
 
-pub use input::{booking, chat, desk, digest};
+pub use input::{Document, booking, chat, desk, digest};
 use store::Store;
 
 /// Chances in a hundred.
@@ -75,6 +76,13 @@
     pub poison: Option<Digest>,
     /// Targets that refuse everything.
     pub refusing: Vec<TargetId>,
+    /// Chats' streams break off once, after this event, with or without any
+    /// of it relayed.
+    pub cut: Option<(u64, bool)>,
+    /// Workers report nothing back.
+    pub silent: bool,
+    /// Attempts that were cancelled, in order.
+    pub cancelled: Vec<Attempt>,
     /// One-way delay between VMs.
     pub delay: Span,
     arrivals: BTreeMap<RequestId, Arrival>,
@@ -92,20 +100,22 @@
 }
 
 const MILLI: u64 = 1_000;
+const FIRST_PORT: u16 = 9_000;
+
+/// The index of the target that listens there.
+fn port(address: SocketAddr) -> usize {
+    usize::from(address.port() - FIRST_PORT)
+}
 
 impl World {
     pub fn new(vms: usize, runners: usize, engines: usize, seed: u64, faults: Faults) -> Self {
-        Self::with_retention(vms, runners, engines, seed, faults, 86_400)
+        let mut world = Self::with(vms, runners, engines, seed, Document::default());
+        world.faults = faults;
+        world
     }
 
-    pub fn with_retention(
-        vms: usize,
-        runners: usize,
-        engines: usize,
-        seed: u64,
-        faults: Faults,
-        retention_s: u64,
-    ) -> Self {
+    /// A world without faults.
+    pub fn with(vms: usize, runners: usize, engines: usize, seed: u64, document: Document) -> Self {
         let pools = [("desk", runners), ("chat", engines)];
         let targets = pools.into_iter().flat_map(|(pool, count)| {
             (0..count).map(move |n| Target {
@@ -125,6 +135,9 @@
             deaths: Vec::new(),
             poison: None,
             refusing: Vec::new(),
+            cut: None,
+            silent: false,
+            cancelled: Vec::new(),
             delay: Span::from_millis(2),
             arrivals: BTreeMap::new(),
             vms: Vec::new(),
@@ -134,7 +147,7 @@
             queue: BTreeMap::new(),
             steps: 0,
         };
-        let value = input::document(retention_s);
+        let value = document.text();
         let key = briarshift_control::document::key("test");
         let put = Operation::Put { key, value, expect: Expect::Any, lease: None };
         world.store.execute(0, put).unwrap();
@@ -143,7 +156,6 @@
             world.start(vm);
         }
         world.run(2_000);
-        world.faults = faults;
         world
     }
 
@@ -195,6 +207,18 @@
         self.now = until;
     }
 
+    /// Runs until something holds, for ten seconds at most.
+    pub fn run_until(&mut self, holds: impl Fn(&Self) -> bool) {
+        const STEPS: usize = 10_000;
+        for _ in 0..STEPS {
+            if holds(self) {
+                return;
+            }
+            self.run(1);
+        }
+        panic!("it never held");
+    }
+
     pub fn after(&mut self, micros: u64, step: impl FnOnce(&mut Self) + 'static) {
         self.steps += 1;
         self.queue.insert((self.now + micros, self.steps), Box::new(step));
@@ -290,10 +314,19 @@
                     world.deliver(vm, epoch, Kind::Load { target, result });
                 });
             }
+            Effect::Cancel { address, id } => {
+                self.cancelled.push(id);
+                self.targets[port(address)].running.retain(|run| run.2 != id);
+            }
             _ => {}
         }
     }
 
+    /// Requests in flight on a VM, by its own count.
+    pub fn in_flight(&self, vm: usize) -> usize {
+        self.vms[vm].state.as_ref().map_or(0, |state| state.counts().in_flight)
+    }
+
     fn list(&self) -> Vec<Listed> {
         let row = |vm: String, role, address| Listed {
             vm: vm.parse().unwrap(),
@@ -306,7 +339,7 @@
             (0..self.vms.len()).map(|vm| row(format!("vm-{vm}"), Role::Entry, vm_address(vm)));
         let targets = self.targets.iter().enumerate().map(|(index, target)| {
             let role = Role::Target { pool: target.pool.parse().unwrap() };
-            let port = 9_000 + u16::try_from(index).unwrap();
+            let port = FIRST_PORT + u16::try_from(index).unwrap();
             row(target.id.to_string(), role, SocketAddr::from(([127, 0, 0, 1], port)))
         });
         vms.chain(targets).collect()
@@ -372,112 +405,6 @@
         self.after(10 * MILLI, move |world| world.watch(vm, epoch, ticket, key, after, end));
     }
 
-    fn decide(&mut self, vm: usize, epoch: u64, request: RequestId, decision: Decision) {
-        match decision {
-            Decision::Send(send) => {
-                self.sends += 1;
-                let delay = self.draw(3 * MILLI);
-                self.after(delay, move |world| {
-                    world.on(vm, epoch, move |world| world.dispatch(vm, epoch, send));
-                });
-            }
-            Decision::Resume(resume) => {
-                let failure = Failure::Broken("no stream".into());
-                self.ended(vm, epoch, resume.id, End::Failed { failure, relayed: true });
-            }
-            Decision::Replay(outcome) => {
-                self.told.insert(request, Told::Replay(outcome.body));
-            }
-            Decision::Refuse(refusal) => {
-                self.told.insert(request, Told::Refused(refusal));
-            }
-        }
-    }
-
-    /// A worker sends an attempt.
-    fn dispatch(&mut self, vm: usize, epoch: u64, send: Send) {
-        let index = self.index(&send.target);
-        if send.before.is_some_and(|before| before < Moment(self.now)) {
-            let failure = Failure::NotSent("too late".into());
-            return self.ended(vm, epoch, send.id, End::Failed { failure, relayed: false });
-        }
-        self.after(MILLI, move |world| world.arrive(vm, epoch, index, &send));
-    }
-
-    fn arrive(&mut self, vm: usize, epoch: u64, index: usize, send: &Send) {
-        let (id, booking) = (send.id, send.whole);
-        if !self.targets[index].up {
-            let failure = Failure::NotSent("refused".into());
-            return self.ended(vm, epoch, id, End::Failed { failure, relayed: false });
-        }
-        if self.chance(self.faults.refused) || self.refusing.contains(&send.target) {
-            return self.ended(vm, epoch, id, End::Refused);
-        }
-        let arrival = self.arrivals[&id.request].clone();
-        self.runs.push(Run { id });
-        self.targets[index].running.push((vm, epoch, id));
-        let start = self.targets[index].start;
-        if self.poison == Some(arrival.body) {
-            let delay = (50 + self.draw(100)) * MILLI;
-            return self.after(delay, move |world| world.crash(index, start));
-        }
-        let delay = (20 + self.draw(200)) * MILLI;
-        let broken = self.chance(self.faults.broken);
-        self.after(delay, move |world| {
-            let running = &mut world.targets[index].running;
-            let Some(at) = running.iter().position(|run| run.2 == id) else { return };
-            running.remove(at);
-            if broken && world.chance(50) {
-                let failure = Failure::Broken("reset".into());
-                world.ended(vm, epoch, id, End::Failed { failure, relayed: false });
-            } else if broken {
-                // Late: the worker gave up, and still reads the answer.
-                let end = End::Failed { failure: Failure::Timeout, relayed: false };
-                world.ended(vm, epoch, id, end);
-                world.after(500 * MILLI, move |world| world.whole(vm, epoch, id, booking, true));
-            } else {
-                world.whole(vm, epoch, id, booking, false);
-            }
-        });
-    }
-
-    fn whole(&mut self, vm: usize, epoch: u64, id: Attempt, booking: bool, late: bool) {
-        self.after(MILLI, move |world| {
-            world.on(vm, epoch, move |world| {
-                if !late {
-                    world.told.insert(id.request, Told::Whole(answer(id)));
-                }
-                let outcome =
-                    booking::Outcome { status: 200, content_type: None, body: answer(id) };
-                let outcome = booking.then_some(outcome);
-                let end = End::Whole { tokens: Tokens::default(), outcome };
-                world.deliver(vm, epoch, Kind::Request(request::Event::Ended { id, end }));
-            });
-        });
-    }
-
-    fn ended(&mut self, vm: usize, epoch: u64, id: Attempt, end: End) {
-        self.after(MILLI, move |world| {
-            world.deliver(vm, epoch, Kind::Request(request::Event::Ended { id, end }));
-        });
-    }
-
-    /// A target dies with all that it runs, and starts anew.
-    fn crash(&mut self, index: usize, start: u64) {
-        let target = &mut self.targets[index];
-        if !target.up || target.start != start {
-            return;
-        }
-        target.up = false;
-        target.start += 1;
-        self.deaths.push(target.id.clone());
-        for (vm, epoch, id) in std::mem::take(&mut target.running) {
-            let failure = Failure::Broken("died".into());
-            self.ended(vm, epoch, id, End::Failed { failure, relayed: false });
-        }
-        self.after(3_000 * MILLI, move |world| world.targets[index].up = true);
-    }
-
     /// What was promised of "not run", checked against the targets' logs.
     pub fn not_run_was_true(&self) -> Result<(), String> {
         for (request, told) in &self.told {
