Let copies of an unproven request spread one target at a time

Two copies ran on two engines, a third waited for a place; when the first engine died its place was given to the third copy before that copy's VM had heard of the strike.

`place::copies` now lets requests of one account and chat start on a further target only when those where they run have survived them for 2 s. Weighed: never more than one target (equal desk calls would have one runner's places for good), and two at once (the failure above). A request held back in this way waits, it is not told that the pool is empty.

Tests: a late or slow store (`Faults::slow`); whoever got an answer, his resends get it too; a claim that takes effect after its refusal is dropped; a late delete of an unused claim spares the next one.

--- a/crates/control/src/place/admit.rs
+++ b/crates/control/src/place/admit.rs
@@ -278,7 +278,8 @@
         let mut board = self.board(at, view, roster, key, pool, targets);
         for slot in self.queue.slots() {
             let Some(waiting) = self.queue.get(slot) else { continue };
-            let avoid = self.copies.avoid(&waiting.ask, targets);
+            let avoid = self.copies.avoid(at, &waiting.ask, targets);
+            let held_back = waiting.ask.avoid.len() < avoid.len();
             let choice = board.choose(&want(at, view, pool, waiting, &avoid));
             let waited = at.since(waiting.since);
             let place = match choice {
@@ -291,7 +292,7 @@
                     board.take(seat, waiting.ask.overnight);
                     Ok(target)
                 }
-                Choice::Empty => Err(Denial::Empty),
+                Choice::Empty if !held_back => Err(Denial::Empty),
                 _ if Span::from_millis(pool.queue_wait_ms) <= waited => Err(Denial::Full),
                 _ => continue,
             };
@@ -371,7 +372,7 @@
 
     fn count(&mut self, request: RequestId, place: Place) {
         if let Some(chat) = &place.chat {
-            self.copies.add(chat.clone(), place.target.clone());
+            self.copies.add(place.at, chat.clone(), place.target.clone());
         }
         let count = self.counts.entry(place.target.clone()).or_default();
         count.load += 1;
--- a/crates/control/tests/all/booking.rs
+++ b/crates/control/tests/all/booking.rs
@@ -4,7 +4,9 @@
 
 use briarshift_control::request::{Outcome, Reason};
 use briarshift_units::{RequestId, Span};
-use proptest::prelude::{Strategy, any, prop, prop_assert, prop_assert_eq, prop_oneof, proptest};
+use proptest::prelude::{
+    ProptestConfig, Strategy, any, prop, prop_assert, prop_assert_eq, prop_oneof, proptest,
+};
 
 use crate::world::{Document, Faults, Told, World, booking, desk};
 
@@ -39,12 +41,9 @@
 }
 
 fn faults() -> impl Strategy<Value = Faults> {
-    (0..30_u64, 0..20_u64, 0..20_u64, 0..30_u64).prop_map(|(lost, late, refused, broken)| Faults {
-        lost,
-        late,
-        refused,
-        broken,
-    })
+    (0..30_u64, 0..30_u64, 0..20_u64, 0..20_u64, 0..30_u64).prop_map(
+        |(lost, slow, late, refused, broken)| Faults { lost, slow, late, refused, broken },
+    )
 }
 
 /// Runs a script and returns each request's VM, account and key.
@@ -135,6 +134,41 @@
     }
 }
 
+proptest! {
+    // Each case runs for three minutes of virtual time.
+    #![proptest_config(ProptestConfig::with_cases(ProptestConfig::default().cases.div_ceil(4)))]
+    #[test]
+    fn whatever_a_caller_was_answered_its_resends_are_answered_too(
+        script in script(),
+        seed in any::<u64>(),
+        faults in faults(),
+    ) {
+        let lives = |action: &Action| !matches!(action, Action::Kill(_) | Action::Start(_));
+        let script: Vec<_> = script.into_iter().filter(|(_, action)| lives(action)).collect();
+        let mut world = World::new(VMS, 3, 0, seed, faults);
+        let sent = play(&mut world, &script);
+        world.run(60_000);
+        world.faults = Faults::default();
+        world.run(120_000);
+        let answered = world.told.clone().into_iter();
+        for (request, told) in answered {
+            let (Told::Whole(bytes) | Told::Replay(bytes)) = told else { continue };
+            let (vm, account, key) = sent[&request.0];
+            let resend = 1_000 + request.0;
+            world.send((vm + 1) % VMS, booking(resend, account, &format!("k-{key}"), "body"));
+            world.run(5_000);
+            prop_assert_eq!(world.told.get(&RequestId(resend)), Some(&Told::Replay(bytes)));
+        }
+        // Unused claims are gone: what is left has run, or may have.
+        let ran: std::collections::BTreeSet<_> =
+            world.runs.iter().map(|run| run.id.request.0 % 1_000).map(|r| {
+                let (_, account, key) = sent[&r];
+                (account, key)
+            }).collect();
+        prop_assert_eq!(world.rows(), ran.len());
+    }
+}
+
 fn refusal(world: &World, request: u64) -> (Reason, Outcome) {
     match world.told.get(&RequestId(request)) {
         Some(Told::Refused(refusal)) => (refusal.reason.clone(), refusal.outcome),
@@ -246,3 +280,38 @@
     world.run(1_000);
     assert_eq!(world.rows(), 1);
 }
+
+#[test]
+fn a_claim_that_takes_effect_after_its_refusal_is_found_and_dropped() {
+    let mut world = World::new(1, 1, 0, 1, Faults { late: 100, ..Faults::default() });
+    world.send(0, booking(1, 0, "k", "body"));
+    world.run(2_500);
+    assert_eq!(refusal(&world, 1), (Reason::NoClaim, Outcome::NotRun));
+    world.faults = Faults::default();
+    world.run(180_000);
+    assert_eq!(world.rows(), 0);
+    assert!(world.runs.is_empty());
+    world.send(0, booking(2, 0, "k", "body"));
+    world.run(1_000);
+    assert!(matches!(world.told[&RequestId(2)], Told::Whole(_)));
+}
+
+#[test]
+fn a_late_delete_of_an_unused_claim_spares_the_next_one() {
+    let mut world = World::new(2, 1, 0, 1, Faults::default());
+    world.refusing = vec!["desk-0".parse().unwrap()];
+    world.send(0, booking(1, 0, "k", "body"));
+    world.run_until(|world| world.sends == 1);
+    world.faults.late = 100;
+    world.run_until(|world| world.told.contains_key(&RequestId(1)));
+    assert_eq!(refusal(&world, 1).1, Outcome::NotRun);
+    world.faults.late = 0;
+    world.refusing.clear();
+    world.run_until(|world| world.rows() == 0);
+    world.send(1, booking(2, 0, "k", "body"));
+    world.run(30_000);
+    world.send(0, booking(3, 0, "k", "body"));
+    world.run(5_000);
+    assert!(matches!(world.told[&RequestId(3)], Told::Replay(_)), "{:?}", world.told);
+    assert_eq!(world.runs.len(), 1);
+}
--- a/crates/control/tests/all/world/mod.rs
+++ b/crates/control/tests/all/world/mod.rs
@@ -25,6 +25,8 @@
 pub struct Faults {
     /// A store call's answer is lost.
     pub lost: u64,
+    /// A store call's answer comes seconds later.
+    pub slow: u64,
     /// A store write takes effect seconds later, unanswered.
     pub late: u64,
     /// A target refuses a request unrun.
@@ -374,10 +376,12 @@
         }
         let lost = self.chance(self.faults.lost);
         let told = self.chance(50);
+        let slow = self.chance(self.faults.slow);
+        let answer_delay = if slow { self.draw(5_000) * MILLI } else { MILLI };
         self.after(delay, move |world| {
             let result = world.store.execute(world.now, operation);
             if !lost {
-                world.after(MILLI, move |world| answer(world, ticket, result));
+                world.after(answer_delay, move |world| answer(world, ticket, result));
             } else if told {
                 let unknown = Err(Error::Unknown("reset".into()));
                 world.after(MILLI, move |world| answer(world, ticket, unknown));
