Keep gossip's share of the byte budget apart from places

Cause: in the demo, places asked at 288 requests a second used up the one bucket of a VM that had also paid for five handshakes; asks then waited for tokens, timed out after 100 ms, and each timeout made more messages (696 changes of the admitting VM in one run). With a budget of 1 MB/s the same run had none, which rules out the takeover rule itself and the load of the machine.

Ruled out: one larger bucket: gossip would still starve, and a VM that is silent is taken for dead.

Change: gossip has a quarter of the rate to itself; handshakes become debt as documents do. New tests places_leave_gossip_its_share and handshakes_hold_up_no_place failed before the change and pass now; the bound of mean_rate_stays_within_the_budget is unchanged.

The place messages themselves, with 60 bytes of QUIC and UDP each, pass the budget of the one admitting VM.

--- a/crates/peer/src/budget.rs
+++ b/crates/peer/src/budget.rs
@@ -1,12 +1,13 @@
 //! The byte budget of control traffic.
 //!
-//! A token bucket that holds one second of the rate. Gossip leaves half of it
-//! alone, so that a place message finds tokens at once; place messages may even
-//! overdraw it by one burst. Documents have an account of their own: a document
-//! may be far longer than the bucket, and if it had to wait for tokens a change
-//! would reach the fleet late. Its bytes become a debt that half of the rate
-//! pays back, so the mean stays within the budget while the other half goes on
-//! carrying places and gossip.
+//! Two token buckets that together hold one second of the rate. A quarter is
+//! for gossip alone: places may take all that is left of the rest and overdraw
+//! it by one burst, and if they could take gossip's share too, a busy VM would
+//! fall silent and be taken for dead. Documents and handshakes have an account
+//! of their own: a document may be far longer than the buckets, and if it had
+//! to wait for tokens a change would reach the fleet late. Their bytes become a
+//! debt that half of the rate pays back, out of the share of places, so the mean
+//! stays within the budget while places and gossip go on.
 
 use briarshift_units::{BytesPerSecond, Moment, Span};
 
@@ -14,6 +15,8 @@
 
 /// Tokens are counted in millionths of a byte, so that no refill is rounded.
 const SCALE: i64 = 1_000_000;
+/// Gossip's share of the rate: one part in so many.
+const GOSSIP_PART: i64 = 4;
 /// Debt at which no further document starts, in seconds of the rate.
 const MAX_DEBT_SECS: i64 = 60;
 /// Longest pause before the budget is asked again.
@@ -36,14 +39,15 @@
 /// use briarshift_peer::{Budget, Class, Verdict};
 /// use briarshift_units::{BytesPerSecond, Moment};
 /// let mut budget = Budget::new(BytesPerSecond(1_000), Moment(0));
-/// assert_eq!(budget.take(Moment(0), Class::Gossip, 500), Verdict::Go);
+/// assert_eq!(budget.take(Moment(0), Class::Gossip, 250), Verdict::Go);
 /// assert!(matches!(budget.take(Moment(0), Class::Gossip, 100), Verdict::Wait(_)));
 /// assert_eq!(budget.take(Moment(0), Class::Place, 100), Verdict::Go);
 /// ```
 #[derive(Debug, Clone)]
 pub struct Budget {
     rate: i64,
-    level: i64,
+    places: i64,
+    gossip: i64,
     debt: i64,
     refilled: Moment,
 }
@@ -52,24 +56,34 @@
     /// A full bucket at `now`.
     pub fn new(rate: BytesPerSecond, now: Moment) -> Self {
         let rate = i64::try_from(rate.0).unwrap_or(i64::MAX / SCALE).clamp(1, i64::MAX / SCALE);
-        Self { rate, level: rate * SCALE, debt: 0, refilled: now }
+        let gossip = rate * SCALE / GOSSIP_PART;
+        Self { rate, places: rate * SCALE - gossip, gossip, debt: 0, refilled: now }
     }
 
     /// Asks to send a frame of `bytes`, and charges them if it may go.
     pub fn take(&mut self, now: Moment, class: Class, bytes: usize) -> Verdict {
         self.refill(now);
         let cost = scaled(bytes);
-        let burst = self.rate * SCALE;
-        let missing = match class {
-            Class::Place => 1 - burst - self.level,
-            Class::Document => self.debt - burst.saturating_mul(MAX_DEBT_SECS),
-            Class::Gossip => burst / 2 + cost.min(burst / 2) - self.level,
+        let second = self.rate * SCALE;
+        // A round longer than gossip's bucket takes the rest from places.
+        let spill = (cost - second / GOSSIP_PART).max(0);
+        let (missing, rate) = match class {
+            Class::Place => (1 - second - self.places, self.rate - self.rate / GOSSIP_PART),
+            Class::Document => (self.debt - second.saturating_mul(MAX_DEBT_SECS), self.rate),
+            Class::Gossip if 0 < spill && self.places < spill => {
+                (spill - self.places, self.rate - self.rate / GOSSIP_PART)
+            }
+            Class::Gossip => (cost - spill - self.gossip, self.rate / GOSSIP_PART),
         };
         if 0 < missing {
-            return Verdict::Wait(self.time_for(missing));
+            return Verdict::Wait(time_for(missing, rate));
         }
         match class {
-            Class::Place | Class::Gossip => self.level -= cost,
+            Class::Place => self.places -= cost,
+            Class::Gossip => {
+                self.gossip -= cost - spill;
+                self.places -= spill;
+            }
             Class::Document => self.debt = self.debt.saturating_add(cost),
         }
         Verdict::Go
@@ -78,7 +92,7 @@
     /// Charges bytes that leave without being asked for, such as a handshake.
     pub fn charge(&mut self, now: Moment, bytes: usize) {
         self.refill(now);
-        self.level = self.level.saturating_sub(scaled(bytes));
+        self.debt = self.debt.saturating_add(scaled(bytes));
     }
 
     fn refill(&mut self, now: Moment) {
@@ -86,14 +100,18 @@
         let gained = self.rate.saturating_mul(elapsed);
         let paid = self.debt.min(gained / 2);
         self.debt -= paid;
-        self.level = self.level.saturating_add(gained - paid).min(self.rate * SCALE);
+        let second = self.rate * SCALE;
+        let share = gained / GOSSIP_PART;
+        self.gossip = self.gossip.saturating_add(share).min(second / GOSSIP_PART);
+        let rest = gained - share - paid;
+        self.places = self.places.saturating_add(rest).min(second - second / GOSSIP_PART);
         self.refilled = now;
     }
+}
 
-    fn time_for(&self, missing: i64) -> Span {
-        let micros = missing / self.rate + 1;
-        Span(u64::try_from(micros).unwrap_or(0)).min(MAX_WAIT)
-    }
+fn time_for(missing: i64, rate: i64) -> Span {
+    let micros = missing / rate.max(1) + 1;
+    Span(u64::try_from(micros).unwrap_or(0)).min(MAX_WAIT)
 }
 
 fn scaled(bytes: usize) -> i64 {
--- a/crates/peer/tests/all/budget.rs
+++ b/crates/peer/tests/all/budget.rs
@@ -62,3 +62,17 @@
     assert_eq!(budget.take(Moment(0), Class::Place, 100), Verdict::Go);
     assert!(matches!(budget.take(Moment(0), Class::Document, 1), Verdict::Wait(_)));
 }
+
+#[test]
+fn places_leave_gossip_its_share() {
+    let mut budget = Budget::new(BytesPerSecond(RATE), Moment(0));
+    while budget.take(Moment(0), Class::Place, 100) == Verdict::Go {}
+    assert_eq!(budget.take(Moment(0), Class::Gossip, 200), Verdict::Go);
+}
+
+#[test]
+fn handshakes_hold_up_no_place() {
+    let mut budget = Budget::new(BytesPerSecond(RATE), Moment(0));
+    budget.charge(Moment(0), 20_000);
+    assert_eq!(budget.take(Moment(0), Class::Place, 100), Verdict::Go);
+}
--- a/src/commands/demo.rs
+++ b/src/commands/demo.rs
@@ -12,7 +12,7 @@
 use crate::demo::traffic::{self, Seen, Volume};
 
 /// How much traffic the demo makes.
-const VOLUME: Volume = Volume { chats: 90, turns: 12, bookings: 60 };
+const VOLUME: Volume = Volume { chats: 240, turns: 12, bookings: 60 };
 /// When one engine begins to leave.
 const LEAVE_AFTER: Duration = Duration::from_secs(3);
 /// When another engine is killed.
--- a/src/demo/site.rs
+++ b/src/demo/site.rs
@@ -20,7 +20,7 @@
 /// Model engines.
 const ENGINE_COUNT: usize = 10;
 /// Tokens of an answer.
-pub const TOKENS: usize = 16;
+pub const TOKENS: usize = 64;
 /// Time an engine takes for a token.
 const TOKEN_TIME: Duration = Duration::from_millis(15);
 /// Longest wait for the fleet to be ready.
--- a/src/demo/traffic.rs
+++ b/src/demo/traffic.rs
@@ -16,7 +16,7 @@
 /// Pause before a try after a refusal.
 const RETRY_PAUSE: Duration = Duration::from_millis(200);
 /// Longest pause between two turns of a chat, in milliseconds.
-const MAX_PAUSE_MS: u64 = 900;
+const MAX_PAUSE_MS: u64 = 1_600;
 
 /// How much traffic there is.
 #[derive(Debug, Clone, Copy)]
