Let frames that wait for the byte budget share a datagram

Cause: each place message paid 80 bytes for its datagram, so the one admitting VM passed 14 KB/s at about 130 requests a second of the fleet; asks waited for tokens, timed out after 100 ms, and takeovers made more messages.

Ruled out: a larger budget (the limit is the users'); letting places pass unchecked (the limit would hold on paper only).

Change: a frame holds one or more messages; frames of one kind that wait for tokens behind each other leave as one, up to 1000 bytes. A frame that waits for nothing leaves alone, as before.

--- a/crates/peer/src/budget.rs
+++ b/crates/peer/src/budget.rs
@@ -7,7 +7,10 @@
 //! of their own: a document may be far longer than the buckets, and if it had
 //! to wait for tokens a change would reach the fleet late. Their bytes become a
 //! debt that half of the rate pays back, out of the share of places, so the mean
-//! stays within the budget while places and gossip go on.
+//! stays within the budget while places and gossip go on. Frames that wait for
+//! tokens leave as one ([`crate::Queue::batch`]), which saves them the overhead of
+//! a datagram each: a VM short of tokens gets slower by milliseconds, not by
+//! losing messages.
 
 use briarshift_units::{BytesPerSecond, Moment, Span};
 
--- a/crates/peer/src/inbound.rs
+++ b/crates/peer/src/inbound.rs
@@ -83,17 +83,24 @@
 }
 
 fn take(shared: &Shared, connection: &Connection, from: &VmId, bytes: &[u8]) {
-    let message = match Frame::decode(bytes) {
-        Ok(message) => message,
+    let messages = match Frame::messages(bytes) {
+        Ok(messages) => messages,
         Err(err) => {
             refuse(shared, connection, Refusal::of_frame(&err), from.as_str());
             return;
         }
     };
-    shared.table.counters.received(Kind::of(&message), bytes.len());
-    let received = Received { from: from.clone(), message, bytes: bytes.len() };
-    if shared.inbox.try_send(received).is_err() {
-        shared.table.counters.dropped(Drop::Unread, 1);
+    let mut bytes = bytes.len();
+    for message in messages {
+        // The frame is counted once, under the kind of its first message.
+        if 0 < bytes {
+            shared.table.counters.received(Kind::of(&message), bytes);
+        }
+        let received = Received { from: from.clone(), message, bytes };
+        bytes = 0;
+        if shared.inbox.try_send(received).is_err() {
+            shared.table.counters.dropped(Drop::Unread, 1);
+        }
     }
 }
 
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -33,7 +33,7 @@
 pub use counters::{Counters, Drop, Flow, Snapshot};
 pub use error::{Error, Refusal};
 pub use link::{Gauge, Link};
-pub use queue::{Queue, Queued};
+pub use queue::{Batch, Queue, Queued};
 pub use tls::Tls;
 
 use std::net::SocketAddr;
@@ -48,7 +48,8 @@
     pub from: VmId,
     /// The message.
     pub message: Message,
-    /// Length of its frame, in bytes.
+    /// Length of its frame in bytes, 0 for all but the first message of a
+    /// frame.
     pub bytes: usize,
 }
 
--- a/crates/peer/src/queue.rs
+++ b/crates/peer/src/queue.rs
@@ -7,6 +7,10 @@
 
 use crate::{Class, Kind};
 
+/// Longest frame made by joining, in bytes: it fits into a datagram on every
+/// path that QUIC allows.
+const MAX_BATCH: usize = 1_000;
+
 /// A frame in the queue.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Queued {
@@ -18,6 +22,15 @@
     pub at: Moment,
 }
 
+/// Frames that may leave as one.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Batch {
+    /// How many.
+    pub frames: usize,
+    /// Their length in bytes.
+    pub bytes: usize,
+}
+
 /// Frames for one peer: first in, first out within each class.
 ///
 /// # Examples
@@ -57,6 +70,32 @@
         self.classes[class.index()].front()
     }
 
+    /// How many frames of a class may leave as one, and their length in bytes:
+    /// those that wait behind the first, are of its kind and fit beside it.
+    pub fn batch(&self, class: Class) -> Option<Batch> {
+        let first = self.front(class)?;
+        let mut batch = Batch { frames: 0, bytes: 0 };
+        let kind = first.kind;
+        for queued in self.classes[class.index()].iter().take_while(|next| next.kind == kind) {
+            let bytes = batch.bytes + queued.frame.as_bytes().len();
+            if 0 < batch.frames && MAX_BATCH < bytes {
+                break;
+            }
+            batch = Batch { frames: batch.frames + 1, bytes };
+        }
+        Some(batch)
+    }
+
+    /// Takes the frames of a batch, joined into one.
+    pub fn pop_batch(&mut self, class: Class, batch: Batch) -> Option<Queued> {
+        let mut first = self.pop(class)?;
+        for _ in 1..batch.frames {
+            let next = self.pop(class)?;
+            first.frame.join(&next.frame);
+        }
+        Some(first)
+    }
+
     /// Takes the next frame of a class.
     pub fn pop(&mut self, class: Class) -> Option<Queued> {
         self.classes[class.index()].pop_front()
--- a/crates/peer/src/table.rs
+++ b/crates/peer/src/table.rs
@@ -163,11 +163,11 @@
         self.counters.dropped(Drop::Stale, peer.queue.expire(now));
         let mut wait: Option<Span> = None;
         for class in Class::ALL {
-            let Some(front) = peer.queue.front(class) else { continue };
-            match budget.take(now, class, front.frame.as_bytes().len() + OVERHEAD) {
+            let Some(batch) = peer.queue.batch(class) else { continue };
+            match budget.take(now, class, batch.bytes + OVERHEAD) {
                 Verdict::Go => {
                     peer.silent_since.get_or_insert(now);
-                    return peer.queue.pop(class).map_or(Next::Idle, Next::Send);
+                    return peer.queue.pop_batch(class, batch).map_or(Next::Idle, Next::Send);
                 }
                 Verdict::Wait(span) => wait = Some(wait.map_or(span, |wait| wait.min(span))),
             }
--- a/crates/peer/tests/all/queue.rs
+++ b/crates/peer/tests/all/queue.rs
@@ -31,3 +31,16 @@
     assert!(queue.front(Class::Gossip).is_none());
     assert!(queue.front(Class::Document).is_some());
 }
+
+#[test]
+fn waiting_frames_leave_as_one() {
+    let mut queue = Queue::new(8);
+    for at in 0..3 {
+        queue.push(queued(Kind::Gossip, Moment(at)));
+    }
+    let batch = queue.batch(Class::Gossip).unwrap();
+    assert_eq!(batch.frames, 3);
+    let joined = queue.pop_batch(Class::Gossip, batch).unwrap();
+    assert!(queue.is_empty());
+    assert_eq!(Frame::messages(joined.frame.as_bytes()).unwrap(), vec![small(); 3]);
+}
--- a/crates/wire/src/codec.rs
+++ b/crates/wire/src/codec.rs
@@ -1,4 +1,4 @@
-//! Frames: a version byte and one encoded message.
+//! Frames: a version byte and one or more encoded messages.
 
 use crate::Message;
 
@@ -28,7 +28,7 @@
     Malformed(String),
 }
 
-/// One encoded message.
+/// One encoded message, or several that share a frame.
 ///
 /// # Examples
 ///
@@ -63,25 +63,70 @@
     ///
     /// Any [`Error`]; arbitrary bytes never panic.
     pub fn decode(bytes: &[u8]) -> Result<Message, Error> {
-        if MAX_FRAME < bytes.len() {
-            return Err(Error::Oversized(bytes.len()));
-        }
-        let (&version, body) = bytes.split_first().ok_or(Error::Empty)?;
-        if version != VERSION {
-            return Err(Error::Version(version));
-        }
-        let (message, rest) = postcard::take_from_bytes(body).map_err(|err| match err {
-            postcard::Error::DeserializeUnexpectedEnd => Error::Truncated,
-            err => Error::Malformed(err.to_string()),
-        })?;
+        let (message, rest) = first(body(bytes)?)?;
         if !rest.is_empty() {
             return Err(Error::Malformed(format!("{} bytes left over", rest.len())));
         }
         Ok(message)
     }
 
+    /// Adds another frame's messages to this one, so that they share a
+    /// datagram.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use briarshift_units::Revision;
+    /// use briarshift_wire::{Frame, Message, document};
+    /// let message = Message::Document(document::Message::Want { revision: Revision(3) });
+    /// let mut frame = Frame::encode(&message).unwrap();
+    /// frame.join(&frame.clone());
+    /// assert_eq!(Frame::messages(frame.as_bytes()).unwrap(), [message.clone(), message]);
+    /// ```
+    pub fn join(&mut self, other: &Self) {
+        self.0.extend_from_slice(&other.0[1..]);
+    }
+
+    /// Decodes a frame of one or more messages, in order.
+    ///
+    /// # Errors
+    ///
+    /// Any [`Error`]; arbitrary bytes never panic.
+    pub fn messages(bytes: &[u8]) -> Result<Vec<Message>, Error> {
+        let mut rest = body(bytes)?;
+        let mut messages = Vec::new();
+        loop {
+            let (message, left) = first(rest)?;
+            messages.push(message);
+            if left.is_empty() {
+                return Ok(messages);
+            }
+            rest = left;
+        }
+    }
+
     /// The frame's bytes, version byte included.
     pub fn as_bytes(&self) -> &[u8] {
         &self.0
     }
 }
+
+/// What follows the version byte, once length and version are checked.
+fn body(bytes: &[u8]) -> Result<&[u8], Error> {
+    if MAX_FRAME < bytes.len() {
+        return Err(Error::Oversized(bytes.len()));
+    }
+    let (&version, body) = bytes.split_first().ok_or(Error::Empty)?;
+    if version != VERSION {
+        return Err(Error::Version(version));
+    }
+    Ok(body)
+}
+
+/// The first message, and what follows it.
+fn first(bytes: &[u8]) -> Result<(Message, &[u8]), Error> {
+    postcard::take_from_bytes(bytes).map_err(|err| match err {
+        postcard::Error::DeserializeUnexpectedEnd => Error::Truncated,
+        err => Error::Malformed(err.to_string()),
+    })
+}
