Order a pool's engines under a lease, by demand

Cause: models have to move between engines as demand moves, ordered by one VM at a time, though leases lapse while their holder is paused.

A lock on orders/{pool} as a state machine (order::lock) whose end is reckoned from the moment an operation was asked for; order::plan, a pure greedy rule with hysteresis; order::State, which reads reports back before the first order, bounds loads, and repeats an order while a report differs. The document lets a pool be ordered (`orders` on a pool, absent: engines are left alone).

Weighed: demand from the fleet's usage records or by gossip; each VM's own requests are a sample of the pool's, so shares come without a message. A whole new placement at each change; it moves more for the same share.

Border changes: settings::Pool has an optional `orders`; the reducer hands reports, samples and a view to orders.

--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -117,7 +117,7 @@
             Kind::Store { ticket, result } => match ticket {
                 Ticket::Document => self.document.store(ctx, result, out),
                 Ticket::Booking(claim) => self.bookings.store(ctx, claim, result, out),
-                Ticket::Order(pool) => self.orders.store(ctx, &pool, result, out),
+                Ticket::Order(pool) => self.orders.store(ctx, &pool, &result, out),
                 Ticket::Usage => self.usage.store(ctx, result, out),
             },
             Kind::List(Ok(rows)) => {
@@ -125,9 +125,12 @@
                 self.targets.list(&rows);
             }
             Kind::List(Err(_)) => {}
-            Kind::Load { target, result } => self.targets.load(ctx, &target, result, out),
+            Kind::Load { target, result } => {
+                self.orders.load(ctx, &target, &result);
+                self.targets.load(ctx, &target, result, out);
+            }
             Kind::Changes { .. } => {}
-            Kind::Ordered { target, result } => self.orders.ordered(ctx, &target, result, out),
+            Kind::Ordered { target, result } => self.orders.ordered(ctx, &target, &result, out),
             Kind::Drain => self.requests.drain(),
         }
     }
@@ -137,7 +140,7 @@
         self.members.tick(ctx, out);
         self.targets.tick(ctx, out);
         self.with_places(|places, view| places.tick(ctx, view, out));
-        self.orders.tick(ctx, out);
+        self.order(ctx, out);
         self.usage.tick(ctx, out);
     }
 
@@ -166,7 +169,10 @@
                     out.push(Effect::Cancel { address: target.address, id });
                 }
             }
-            Signal::Use(sample) => self.usage.count(&sample),
+            Signal::Use(sample) => {
+                self.orders.count(ctx, &sample);
+                self.usage.count(&sample);
+            }
             Signal::Sent(_) => {}
         }
     }
@@ -180,6 +186,16 @@
         apply(&mut self.requests, view);
     }
 
+    fn order(&mut self, ctx: &Context<'_>, out: &mut Output) {
+        let view = order::View {
+            targets: &self.targets,
+            members: &self.members,
+            document: self.document.current(),
+            draining: self.requests.is_draining(),
+        };
+        self.orders.tick(ctx, view, out);
+    }
+
     fn with_places(&mut self, apply: impl FnOnce(&mut place::State, place::View<'_>)) {
         let Some(document) = self.document.current() else { return };
         let view = place::View { targets: &self.targets, members: &self.members, document };
--- /dev/null
+++ b/crates/control/tests/all/main.rs
@@ -0,0 +1,3 @@
+//! Tests of the control reducer's concerns.
+
+mod order;
--- /dev/null
+++ b/crates/control/tests/all/order/fleet.rs
@@ -0,0 +1,365 @@
+//! A few order holders, a store and engines in virtual time, with faults.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use briarshift_control::order::{State, View};
+use briarshift_control::{Context, Effect, Identity, Kind, Output, Record, member, target, usage};
+use briarshift_platform::{Error, LeaseId, Listed, Operation, Role, Standing};
+use briarshift_settings::{Document, Engine as EngineSettings, Orders, Pool};
+use briarshift_standin::store::Memory;
+use briarshift_target::{Failure, Order, Outcome, Report};
+use briarshift_units::{Fencing, ModelId, Moment, PoolId, Span, Start, TargetId, WallTime};
+
+use super::model;
+
+/// Time of one step.
+pub const STEP: Span = Span::from_secs(1);
+/// Models an engine has room for.
+pub const ROOM: u32 = 2;
+/// Engines that may load at once.
+pub const LOADS_AT_ONCE: u32 = 2;
+/// Time a model takes to load.
+const LOAD_TIME: Span = Span::from_secs(20);
+
+/// What happens to the fleet.
+#[derive(Debug, Clone)]
+pub enum Fault {
+    /// Nothing, for some steps.
+    Run(u64),
+    /// One VM runs no code for some steps.
+    Pause(usize, u64),
+    /// The store refuses everything for some steps.
+    Outage(u64),
+    /// The next answers of the store are lost.
+    Lose(u32),
+    /// Orders sent from now on arrive late, until the next such fault.
+    Delay(u64),
+    /// The next orders do not arrive.
+    Drop(u32),
+    /// Callers ask for a model.
+    Demand(usize, u32),
+}
+
+struct Vm {
+    me: Identity,
+    state: State,
+    targets: target::State,
+    paused_until: Moment,
+    inbox: Vec<Kind>,
+}
+
+/// An engine that loads what it is told, one model after the other.
+pub struct Engine {
+    id: TargetId,
+    checks: bool,
+    pub models: Vec<ModelId>,
+    loading: Vec<(Moment, ModelId)>,
+    newest: Fencing,
+    /// Fencing numbers of the orders obeyed.
+    pub obeyed: Vec<Fencing>,
+}
+
+impl Engine {
+    fn obey(&mut self, now: Moment, order: &Order) -> Outcome {
+        if self.checks && order.fencing < self.newest {
+            return Outcome::Stale { newest: self.newest };
+        }
+        self.newest = self.newest.max(order.fencing);
+        self.obeyed.push(order.fencing);
+        self.models.retain(|model| order.models.contains(model));
+        self.loading.retain(|(_, model)| order.models.contains(model));
+        for model in &order.models {
+            let known = self.loading.iter().any(|(_, loading)| loading == model);
+            if !known && !self.models.contains(model) {
+                self.loading.push((now + LOAD_TIME, model.clone()));
+            }
+        }
+        Outcome::Accepted
+    }
+
+    fn step(&mut self, now: Moment) {
+        let (ready, loading) = self.loading.drain(..).partition(|(at, _)| *at <= now);
+        self.loading = loading;
+        self.models.extend(ready.into_iter().map(|(_, model): (Moment, ModelId)| model));
+    }
+
+    fn report(&self) -> Report {
+        let fencing = Some(self.newest).filter(|_| self.checks);
+        Report { start: Start(1), models: self.models.clone(), fencing, ..Report::default() }
+    }
+}
+
+struct Flight {
+    arrives: Moment,
+    vm: usize,
+    target: TargetId,
+    order: Order,
+}
+
+pub struct Fleet {
+    pub now: Moment,
+    pub pool: PoolId,
+    pub engines: Vec<Engine>,
+    pub log: Vec<Record>,
+    /// Orders sent so far.
+    pub orders: usize,
+    /// Most engines that loaded at once.
+    pub max_loading: usize,
+    vms: Vec<Vm>,
+    members: member::State,
+    memory: Memory,
+    document: Document,
+    flights: Vec<Flight>,
+    outage_until: Moment,
+    lose: u32,
+    drop: u32,
+    delay: Span,
+}
+
+fn address() -> SocketAddr {
+    "127.0.0.1:1".parse().unwrap()
+}
+
+impl Fleet {
+    /// `vms` order holders; engines that check fencing numbers and that do
+    /// not, in turn, all holding the first of three models.
+    pub fn new(vms: usize, engines: usize) -> Self {
+        let pool: PoolId = "p".parse().unwrap();
+        let settings = EngineSettings { load_factor: 1.5, place_wait_ms: 0, overnight_share: 0.5 };
+        let row = Pool::engines(pool.clone(), "o".parse().unwrap(), settings)
+            .orders(Orders { models_per_engine: ROOM, loads_at_once: LOADS_AT_ONCE });
+        let mut document = Document::builder().pool(row.build());
+        for name in ["a", "b", "c"] {
+            document = document.model(model(name), pool.clone());
+        }
+        let engines: Vec<_> = (0..engines).map(engine).collect();
+        let rows: Vec<_> = engines.iter().map(|engine| listed(engine, &pool)).collect();
+        Self {
+            now: Moment(0),
+            engines,
+            log: Vec::new(),
+            orders: 0,
+            max_loading: 0,
+            vms: (0..vms).map(|number| vm(number, &rows)).collect(),
+            members: member::State::default(),
+            memory: Memory::default(),
+            document: document.build(),
+            pool,
+            flights: Vec::new(),
+            outage_until: Moment(0),
+            lose: 0,
+            drop: 0,
+            delay: Span::ZERO,
+        }
+    }
+
+    pub fn apply(&mut self, fault: &Fault) {
+        match fault {
+            Fault::Run(steps) => self.run(*steps),
+            Fault::Pause(vm, steps) => {
+                let count = self.vms.len();
+                self.vms[vm % count].paused_until = self.now + Span(STEP.0 * steps);
+            }
+            Fault::Outage(steps) => self.outage_until = self.now + Span(STEP.0 * steps),
+            Fault::Lose(count) => self.lose = *count,
+            Fault::Delay(steps) => self.delay = Span(STEP.0 * steps),
+            Fault::Drop(count) => self.drop = *count,
+            Fault::Demand(number, count) => {
+                let name = ["a", "b", "c"][number % 3];
+                for _ in 0..*count {
+                    self.demand(name);
+                }
+            }
+        }
+    }
+
+    fn demand(&mut self, name: &str) {
+        let sample = usage::Sample {
+            owner: "o".parse().unwrap(),
+            account: "x".parse().unwrap(),
+            pool: self.pool.clone(),
+            model: Some(name.into()),
+            tokens: Default::default(),
+            queued: Span::ZERO,
+            booked: false,
+            refused: false,
+        };
+        for vm in &mut self.vms {
+            let ctx = Context { at: self.now, wall: WallTime(0), entropy: 0, me: &vm.me };
+            vm.state.count(&ctx, &sample);
+        }
+    }
+
+    /// Ends all faults.
+    pub fn heal(&mut self) {
+        self.outage_until = self.now;
+        self.lose = 0;
+        self.drop = 0;
+        self.delay = Span::ZERO;
+        for vm in &mut self.vms {
+            vm.paused_until = self.now;
+        }
+    }
+
+    /// VMs that hold the lease by their own clock.
+    pub fn holders(&self) -> Vec<usize> {
+        let holds = |vm: &Vm| vm.state.holds(self.now, &self.pool).is_some();
+        (0..self.vms.len()).filter(|number| holds(&self.vms[*number])).collect()
+    }
+
+    /// What a holder wants on each engine.
+    pub fn wanted(&self, vm: usize) -> BTreeMap<TargetId, Vec<ModelId>> {
+        let state = &self.vms[vm].state;
+        let ids = self.engines.iter().map(|engine| engine.id.clone());
+        ids.filter_map(|id| Some((id.clone(), state.wanted(&self.pool, &id)?.to_vec()))).collect()
+    }
+
+    /// What each engine holds.
+    pub fn held(&self) -> BTreeMap<TargetId, Vec<ModelId>> {
+        let held = |engine: &Engine| (engine.id.clone(), engine.models.clone());
+        self.engines.iter().map(held).collect()
+    }
+
+    pub fn run(&mut self, steps: u64) {
+        for _ in 0..steps {
+            self.now = self.now + STEP;
+            self.deliver();
+            for engine in &mut self.engines {
+                engine.step(self.now);
+            }
+            let loading = self.engines.iter().filter(|engine| !engine.loading.is_empty());
+            self.max_loading = self.max_loading.max(loading.count());
+            for number in 0..self.vms.len() {
+                if self.vms[number].paused_until <= self.now {
+                    self.step(number);
+                }
+            }
+        }
+    }
+
+    fn step(&mut self, number: usize) {
+        let vm = &mut self.vms[number];
+        let ctx = Context { at: self.now, wall: WallTime(0), entropy: 0, me: &vm.me };
+        let mut out = Output::default();
+        for kind in std::mem::take(&mut vm.inbox) {
+            match kind {
+                Kind::Store { result, .. } => vm.state.store(&ctx, &self.pool, &result, &mut out),
+                Kind::Load { target, result } => vm.state.load(&ctx, &target, &result),
+                Kind::Ordered { target, result } => {
+                    vm.state.ordered(&ctx, &target, &result, &mut out);
+                }
+                kind => panic!("{kind:?}"),
+            }
+        }
+        let view = View {
+            targets: &vm.targets,
+            members: &self.members,
+            document: Some(&self.document),
+            draining: false,
+        };
+        vm.state.tick(&ctx, view, &mut out);
+        for effect in out.effects {
+            self.carry_out(number, effect);
+        }
+    }
+
+    fn carry_out(&mut self, vm: usize, effect: Effect) {
+        match effect {
+            Effect::Store { ticket, operation } => {
+                let result = self.store(operation);
+                self.vms[vm].inbox.push(Kind::Store { ticket, result });
+            }
+            Effect::Poll { target, .. } => {
+                let engine = self.engines.iter().find(|engine| engine.id == target).unwrap();
+                let result = Ok(engine.report());
+                self.vms[vm].inbox.push(Kind::Load { target, result });
+            }
+            Effect::Order { target, order, .. } => {
+                self.orders += 1;
+                self.check_lease(order.fencing);
+                if 0 < self.drop {
+                    self.drop -= 1;
+                    let result = Err(Failure::Timeout);
+                    self.vms[vm].inbox.push(Kind::Ordered { target, result });
+                    return;
+                }
+                let arrives = self.now + self.delay;
+                self.flights.push(Flight { arrives, vm, target, order });
+            }
+            Effect::Log(record) => self.log.push(record),
+            effect => panic!("{effect:?}"),
+        }
+    }
+
+    fn store(&mut self, operation: Operation) -> Result<briarshift_platform::Reply, Error> {
+        if self.now < self.outage_until {
+            return Err(Error::Refused("outage".into()));
+        }
+        let result = self.memory.execute(self.now, operation);
+        if 0 < self.lose {
+            self.lose -= 1;
+            return Err(Error::Unknown("lost".into()));
+        }
+        result
+    }
+
+    /// An order leaves only under a lease that the store still keeps.
+    fn check_lease(&self, fencing: Fencing) {
+        let renew = Operation::Renew { lease: LeaseId(fencing.0) };
+        let kept = self.memory.clone().execute(self.now, renew);
+        assert!(kept.is_ok(), "order under {fencing} left at {}: {kept:?}", self.now);
+    }
+
+    fn deliver(&mut self) {
+        let now = self.now;
+        let (due, later): (Vec<_>, _) =
+            self.flights.drain(..).partition(|flight| flight.arrives <= now);
+        self.flights = later;
+        for Flight { vm, target, order, .. } in due {
+            let engine = self.engines.iter_mut().find(|engine| engine.id == target).unwrap();
+            let result = Ok(engine.obey(now, &order));
+            self.vms[vm].inbox.push(Kind::Ordered { target, result });
+        }
+    }
+}
+
+fn engine(number: usize) -> Engine {
+    Engine {
+        id: format!("e{number}").parse().unwrap(),
+        checks: number.is_multiple_of(2),
+        models: vec![model("a")],
+        loading: Vec::new(),
+        newest: Fencing(0),
+        obeyed: Vec::new(),
+    }
+}
+
+fn listed(engine: &Engine, pool: &PoolId) -> Listed {
+    Listed {
+        vm: engine.id.as_str().parse().unwrap(),
+        role: Role::Target { pool: pool.clone() },
+        data_centre: "d".parse().unwrap(),
+        address: address(),
+        standing: Standing::Live,
+    }
+}
+
+fn vm(number: usize, rows: &[Listed]) -> Vm {
+    let mut targets = target::State::default();
+    targets.list(rows);
+    Vm {
+        me: Identity {
+            vm: format!("v{number}").parse().unwrap(),
+            start: Start(1),
+            data_centre: "d".parse().unwrap(),
+            address: address(),
+            environment: "test".into(),
+            token_key: [0; 32],
+        },
+        state: State::default(),
+        targets,
+        paused_until: Moment(0),
+        inbox: Vec::new(),
+    }
+}
--- /dev/null
+++ b/crates/control/tests/all/order/mod.rs
@@ -0,0 +1,11 @@
+//! Leases and orders.
+
+mod drift;
+mod fleet;
+mod holder;
+
+use briarshift_units::ModelId;
+
+fn model(name: &str) -> ModelId {
+    name.parse().unwrap()
+}
--- a/crates/settings/src/document/build.rs
+++ b/crates/settings/src/document/build.rs
@@ -4,7 +4,7 @@
 use sha2::{Digest as _, Sha256};
 use smol_str::SmolStr;
 
-use crate::{Account, Document, Engine, Kind, Model, Pool, Priority, Rate, Runner};
+use crate::{Account, Document, Engine, Kind, Model, Orders, Pool, Priority, Rate, Runner};
 
 /// Wait for a place unless told otherwise, in milliseconds.
 const QUEUE_WAIT_MS: u64 = 5_000;
@@ -149,6 +149,7 @@
             queue_wait_ms: QUEUE_WAIT_MS,
             queue_length: QUEUE_LENGTH,
             retry_share: RETRY_SHARE,
+            orders: None,
         })
     }
 
@@ -168,6 +169,13 @@
         self
     }
 
+    /// Lets its engines be ordered to load models.
+    #[must_use]
+    pub fn orders(mut self, orders: Orders) -> Self {
+        self.0.orders = Some(orders);
+        self
+    }
+
     /// The pool.
     pub fn build(self) -> Pool {
         self.0
--- a/crates/settings/src/document/mod.rs
+++ b/crates/settings/src/document/mod.rs
@@ -154,6 +154,21 @@
     /// Retries allowed, as a share of first attempts, 0 to 1.
     #[schemars(range(min = 0, max = 1))]
     pub retry_share: f64,
+    /// What its engines may be ordered; without it they are left as they are.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub orders: Option<Orders>,
+}
+
+/// What the engines of a pool may be ordered.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct Orders {
+    /// Models that an engine has room for.
+    #[schemars(range(min = 1))]
+    pub models_per_engine: u32,
+    /// Most engines that load from the weight store at once, in the pool.
+    #[schemars(range(min = 1))]
+    pub loads_at_once: u32,
 }
 
 /// What a pool's targets are.
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -25,7 +25,7 @@
 use crate::schema::Checker;
 
 pub use document::{
-    Account, AccountBuilder, Call, Document, DocumentBuilder, Engine, Kind, Model, Pool,
+    Account, AccountBuilder, Call, Document, DocumentBuilder, Engine, Kind, Model, Orders, Pool,
     PoolBuilder, Priority, Rate, Runner,
 };
 pub use fault::Faults;
