--- a/benches/policy/document.rs
+++ b/benches/policy/document.rs
@@ -61,6 +61,7 @@
             queue_wait_ms: 10_000,
             queue_length: 2_000,
             retry_share: 0.1,
+            orders: None,
         }],
         models: vec![Model { id: "chat".parse().expect("an id"), pool: pool() }],
         ..Document::default()
--- /dev/null
+++ b/crates/control/tests/all/main.rs
@@ -0,0 +1,4 @@
+//! Tests of the control reducer's concerns.
+
+mod order;
+mod usage;
--- a/src/demo/plan.rs
+++ b/src/demo/plan.rs
@@ -92,6 +92,7 @@
         queue_wait_ms: 10_000,
         queue_length: 1_000,
         retry_share: 0.1,
+        orders: None,
     }
 }
 
@@ -111,6 +112,7 @@
         queue_wait_ms: 5_000,
         queue_length: 1_000,
         retry_share: 0.1,
+        orders: None,
     }
 }
 
