--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -96,7 +96,8 @@
             }
         }
         let idle = self.requests.is_empty() && self.bookings.unsettled() == 0;
-        if self.requests.is_draining() && idle && !self.drained {
+        let drained = self.requests.is_draining() && idle;
+        if drained && self.usage.is_settled(ctx.at) && !self.drained {
             self.drained = true;
             out.push(Effect::Drained);
         }
@@ -129,17 +130,20 @@
                 Ticket::Document => self.document.store(ctx, result, out),
                 Ticket::Report => self.document.reported(&result),
                 Ticket::Booking(claim) => self.bookings.store(ctx, claim, result, out),
-                Ticket::Order(pool) => self.orders.store(ctx, &pool, result, out),
-                Ticket::Usage => self.usage.store(ctx, result, out),
+                Ticket::Order(pool) => self.orders.store(ctx, &pool, &result, out),
+                Ticket::Usage => self.usage.store(ctx, &result, out),
             },
             Kind::List(Ok(rows)) => {
                 self.members.list(ctx, &rows);
                 self.targets.list(&rows);
             }
             Kind::List(Err(_)) => {}
-            Kind::Load { target, result } => self.targets.load(ctx, &target, result, out),
+            Kind::Load { target, result } => {
+                self.orders.load(ctx, &target, &result);
+                self.targets.load(ctx, &target, result, out);
+            }
             Kind::Changes { target, result } => self.cache.changes(&target, result, out),
-            Kind::Ordered { target, result } => self.orders.ordered(ctx, &target, result, out),
+            Kind::Ordered { target, result } => self.orders.ordered(ctx, &target, &result, out),
             Kind::Drain => self.requests.drain(),
         }
     }
@@ -153,8 +157,12 @@
         self.bookings.tick(ctx, out);
         self.with_poison(|poison, view| poison.tick(ctx, view, out));
         self.cache.tick(ctx, &self.targets, self.places.admitted(), out);
-        self.orders.tick(ctx, out);
-        self.usage.tick(ctx, out);
+        self.order(ctx, out);
+        let view = usage::View {
+            vms: 1 + self.members.live().count(),
+            drained: self.requests.is_draining() && self.requests.is_empty(),
+        };
+        self.usage.tick(ctx, view, out);
     }
 
     fn signal(&mut self, ctx: &Context<'_>, signal: Signal, out: &mut Output) {
@@ -193,7 +201,10 @@
                     out.push(Effect::Cancel { address: target.address, id });
                 }
             }
-            Signal::Use(sample) => self.usage.count(&sample),
+            Signal::Use(sample) => {
+                self.orders.count(ctx, &sample);
+                self.usage.count(ctx, &sample);
+            }
             Signal::Sent(_) => {}
         }
     }
@@ -212,6 +223,16 @@
         apply(&mut self.poison, view);
     }
 
+    fn order(&mut self, ctx: &Context<'_>, out: &mut Output) {
+        let view = order::View {
+            targets: &self.targets,
+            members: &self.members,
+            document: self.document.current(),
+            draining: self.requests.is_draining(),
+        };
+        self.orders.tick(ctx, view, out);
+    }
+
     fn with_places(&mut self, apply: impl FnOnce(&mut place::State, place::View<'_>)) {
         let Some(document) = self.document.current() else { return };
         let view = place::View {
