Resume broken streams, and say what is promised

The worker resumes a broken stream where its engine has it (`End::Cut`, `Decision::Resume`), checks a booking's last moment before it sends (`Send::before`; all clocks of a process now count from one origin), takes a plain 503 as "may have run" (`Answer::is_refusal`), and digests method, path and body, so that a booking and a cancellation with one key never meet. These are border changes in the daemon, since nothing else carries them out.

--- a/crates/daemon/src/caller.rs
+++ b/crates/daemon/src/caller.rs
@@ -6,7 +6,7 @@
 use actix_web::http::StatusCode;
 use actix_web::web::{self, Bytes, ServiceConfig};
 use actix_web::{HttpRequest, HttpResponse};
-use briarshift_control::request::{Arrival, Work};
+use briarshift_control::request::{Arrival, Work, digest};
 use briarshift_settings::Call;
 use briarshift_target::Method;
 use briarshift_units::{ChatKey, Digest, RequestId};
@@ -135,8 +135,9 @@
     work: Work,
     path: String,
 ) -> Job {
-    let arrival =
-        Arrival { request: RequestId(fastrand::u64(..)), credential, body: sha256(&body), work };
+    let digest = digest(request.method().as_str(), &path, &body);
+    let request_id = RequestId(fastrand::u64(..));
+    let arrival = Arrival { request: request_id, credential, body: digest, work };
     Job {
         arrival,
         method: Method(request.method().as_str().into()),
--- a/crates/daemon/src/clock.rs
+++ b/crates/daemon/src/clock.rs
@@ -1,9 +1,14 @@
 //! The process's clocks.
 
+use std::sync::OnceLock;
 use std::time::{Instant, SystemTime, UNIX_EPOCH};
 
 use briarshift_units::{Moment, Start, WallTime};
 
+/// All clocks of a process count from here, so that a moment set by the
+/// control thread means the same to a traffic thread.
+static ORIGIN: OnceLock<Instant> = OnceLock::new();
+
 /// Reads monotonic and wall-clock time.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Clock {
@@ -12,7 +17,7 @@
 
 impl Clock {
     pub(crate) fn new() -> Self {
-        Self { origin: Instant::now() }
+        Self { origin: *ORIGIN.get_or_init(Instant::now) }
     }
 
     pub(crate) fn now(self) -> Moment {
--- a/crates/daemon/src/relay.rs
+++ b/crates/daemon/src/relay.rs
@@ -6,7 +6,7 @@
 
 use actix_web::web::Bytes;
 use briarshift_target::stream::{Reader, Tokens};
-use briarshift_target::{Body, Failure};
+use briarshift_target::{Answer, Body, Failure};
 use bytes::BytesMut;
 use futures::StreamExt;
 use futures::stream::Stream;
@@ -40,6 +40,16 @@
         (Self { reader, sink }, futures::stream::poll_fn(move |ctx| source.poll_recv(ctx)))
     }
 
+    /// Number of the last event passed on, 0 before the first.
+    pub(crate) fn last_id(&self) -> u64 {
+        self.reader.last_id()
+    }
+
+    /// Makes ready for the rest of a stream that broke.
+    pub(crate) fn reopen(&mut self, head: &Answer) -> Result<(), Failure> {
+        self.reader.reopen(head)
+    }
+
     /// Passes on events until the body ends.
     pub(crate) async fn run(mut self, mut body: Body) -> Ended {
         loop {
--- a/crates/daemon/src/worker.rs
+++ b/crates/daemon/src/worker.rs
@@ -8,8 +8,8 @@
 use actix_web::web::Bytes;
 use briarshift_control::Kind;
 use briarshift_control::booking;
-use briarshift_control::request::{Arrival, Decision, End, Event, Send, Tokens};
-use briarshift_target::stream::{Reader, Whole};
+use briarshift_control::request::{Arrival, Decision, End, Event, Resume, Send, Tokens};
+use briarshift_target::stream::{self, Reader, Whole};
 use briarshift_target::{Answer, Body, Call, Failure, Method, Target};
 use briarshift_units::RequestId;
 use futures::StreamExt;
@@ -17,12 +17,10 @@
 use tokio::sync::{mpsc, oneshot};
 
 use crate::answer;
+use crate::clock::Clock;
 use crate::control::{Arrived, Control, Input};
 use crate::relay::{Ended, Relay};
 
-/// Statuses with which a target refuses a request that it has not run.
-const REFUSALS: [u16; 2] = [429, 503];
-
 /// A request as a worker read it.
 pub(crate) struct Job {
     pub(crate) arrival: Arrival,
@@ -145,6 +143,10 @@
             chat: send.chat,
             overnight: send.overnight,
         };
+        if send.before.is_some_and(|before| before < Clock::new().now()) {
+            let failure = Failure::NotSent("its claim is too old".into());
+            return Next::Decide(End::Failed { failure, relayed: false });
+        }
         let targets = Rc::clone(&self.worker.targets);
         let opened = targets.send(send.address, call);
         let opened = if send.whole {
@@ -168,7 +170,7 @@
             Ok(reader) => reader,
             Err(failure) => return Next::Decide(End::Failed { failure, relayed: false }),
         };
-        if REFUSALS.contains(&answer.status) {
+        if answer.is_refusal() {
             return Next::Decide(End::Refused);
         }
         if reader.is_stream() {
@@ -202,23 +204,43 @@
         }
         let (relay, body) = Relay::new(reader);
         self.respond(response.streaming(body));
-        match relay.run(answer.body).await {
-            Ended::Whole(tokens) => {
-                let end = End::Whole { tokens, outcome: None };
-                self.worker.tell(Event::Ended { id: send.id, end });
-                Next::Done
-            }
-            Ended::Gone => Next::Gone,
-            Ended::Broken { failure, relay } => {
-                let end = End::Failed { failure, relayed: true };
-                self.worker.tell(Event::Ended { id: send.id, end });
-                if let Some(Decision::Refuse(refusal)) = self.decisions.recv().await {
-                    relay.break_off(&answer::text(&refusal, &self.id().to_string())).await;
+        let mut ended = relay.run(answer.body).await;
+        loop {
+            match ended {
+                Ended::Whole(tokens) => {
+                    let end = End::Whole { tokens, outcome: None };
+                    self.worker.tell(Event::Ended { id: send.id, end });
+                    return Next::Done;
+                }
+                Ended::Gone => return Next::Gone,
+                Ended::Broken { failure, relay } => {
+                    let end = End::Cut { failure, last_id: relay.last_id(), relayed: true };
+                    self.worker.tell(Event::Ended { id: send.id, end });
+                    match self.decisions.recv().await {
+                        Some(Decision::Resume(resume)) => ended = self.resume(resume, relay).await,
+                        Some(Decision::Refuse(refusal)) => {
+                            let text = answer::text(&refusal, &self.id().to_string());
+                            relay.break_off(&text).await;
+                            return Next::Done;
+                        }
+                        _ => return Next::Done,
+                    }
                 }
-                Next::Done
             }
         }
     }
+
+    /// Goes on with a broken stream where its engine has it.
+    async fn resume(&self, resume: Resume, mut relay: Relay) -> Ended {
+        let call = stream::resume(resume.id, resume.after);
+        match self.worker.targets.send(resume.address, call).await {
+            Ok(answer) => match relay.reopen(&answer) {
+                Ok(()) => relay.run(answer.body).await,
+                Err(failure) => Ended::Broken { failure, relay },
+            },
+            Err(failure) => Ended::Broken { failure, relay },
+        }
+    }
 }
 
 /// Reads an answer that is no stream to its end.
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -4,4 +4,5 @@
 mod fleet;
 mod path;
 mod refusal;
+mod resume;
 mod shutdown;
