Place displaced chats on the least loaded target, and survive differing lists

Causes: (1) a chat whose context is gone went by rank, so engines kept uneven numbers of chats and were full more often; (2) a VM that its admitting VM did not know got no answer, and a VM that did not know the admitting VM let the next one admit too; (3) places on engines that one list misses were given up; (4) a dead VM's places kept the mean too high. Change: least loaded for chats that can't have their context; Hold, Want and Redirect carry addresses and name who admits, so a second claimant steps down; a VM's vouching opens the engine that holds the chat's context, and a grant is tried unless the engine is leaving; places of a VM silent for 0.5 s count on their targets but not for the mean, and holders send a heartbeat. Weighed: least loaded of the top ranks only; the whole slice is known exactly, so there is nothing to gain by looking at fewer.

--- a/benches/policy/oracle.rs
+++ b/benches/policy/oracle.rs
@@ -42,6 +42,7 @@
             start: engine.start,
             load: engine.load,
             overnight: self.overnight.get(&engine.id).copied().unwrap_or(0),
+            open: true,
         });
         let bound = Bound::Mean { factor: 1.25, overnight_share: 0.5 };
         let mut board = Board { seats: seats.collect(), bound, other_load: 0, other_targets: 0 };
--- a/crates/control/src/place/admit.rs
+++ b/crates/control/src/place/admit.rs
@@ -61,6 +61,8 @@
     pub vm: VmId,
     /// What it asks for.
     pub ask: Ask,
+    /// That VM believes that the target holding the context takes work.
+    pub vouched: bool,
     /// Since when the request waits.
     pub since: Moment,
 }
@@ -119,6 +121,7 @@
     phase: Phase,
     places: BTreeMap<RequestId, Place>,
     counts: BTreeMap<TargetId, Count>,
+    by_vm: BTreeMap<VmId, u32>,
     untold: BTreeMap<TargetId, Untold>,
     queue: Queue<Waiting>,
     grants: Recent,
@@ -131,6 +134,7 @@
             phase: Phase::Idle,
             places: BTreeMap::new(),
             counts: BTreeMap::new(),
+            by_vm: BTreeMap::new(),
             untold: BTreeMap::new(),
             queue: Queue::default(),
             grants: Recent::default(),
@@ -259,6 +263,7 @@
         view: View<'_>,
         roster: &Roster,
         key: &Key,
+        is_silent: impl Fn(&VmId) -> bool,
         out: &mut Output,
     ) -> Vec<Answer> {
         let mut answers = Vec::new();
@@ -270,6 +275,10 @@
         };
         let targets = roster.targets(key);
         let mut board = self.board(at, view, roster, key, pool, targets);
+        // What a silent VM holds may be gone: its places count on their
+        // targets, but not for the mean.
+        let silent = self.by_vm.iter().filter(|(vm, _)| is_silent(vm));
+        board.other_load -= silent.map(|(_, count)| i64::from(*count)).sum::<i64>();
         for slot in self.queue.slots() {
             let Some(waiting) = self.queue.get(slot) else { continue };
             let choice = board.choose(&want(at, view, pool, waiting));
@@ -321,13 +330,24 @@
         pool: &Pool,
         targets: &'a [TargetId],
     ) -> Board<'a> {
+        let vouched = self.queue.iter().filter(|(_, waiting)| waiting.vouched);
+        let vouched = vouched.filter_map(|(_, waiting)| Some(&waiting.ask.held_on.as_ref()?.0));
+        let vouched: BTreeSet<_> = vouched.collect();
+        let mut unsure = 0;
         let live = targets.iter().filter_map(|id| {
-            let target = view.targets.get(id).filter(|target| target.takes_work())?;
+            let target = view.targets.get(id).filter(|target| target.leaving.is_none())?;
+            let open = target.takes_work();
+            if !open && !vouched.contains(id) {
+                return None;
+            }
+            unsure += u32::from(!open);
             let count = self.counts.get(id).copied().unwrap_or_default();
             let load = count.load + self.untold(id);
-            Some(Seat { target: id, start: target.start(), load, overnight: count.overnight })
+            let overnight = count.overnight;
+            Some(Seat { target: id, start: target.start(), load, overnight, open })
         });
         let seats = live.collect();
+        let vouched = unsure;
         let bound = match &pool.kind {
             Kind::Engine(engine) => {
                 Bound::Mean { factor: engine.load_factor, overnight_share: engine.overnight_share }
@@ -339,6 +359,7 @@
         let rate = self.releases.count(at, RELEASE_WINDOW) as f64 / RELEASE_WINDOW.as_secs_f64();
         let ended = unheard(rate * RELEASE_TRANSIT.as_secs_f64());
         let other_load = other_load as i64 - transit - ended;
+        let other_targets = other_targets.saturating_sub(vouched);
         Board { seats, bound, other_load, other_targets }
     }
 
@@ -366,10 +387,14 @@
         let count = self.counts.entry(place.target.clone()).or_default();
         count.load += 1;
         count.overnight += u32::from(place.overnight);
+        *self.by_vm.entry(place.vm.clone()).or_default() += 1;
         self.places.insert(request, place);
     }
 
     fn uncount(&mut self, place: &Place) {
+        if let Some(count) = self.by_vm.get_mut(&place.vm) {
+            *count -= 1;
+        }
         let Some(count) = self.counts.get_mut(&place.target) else { return };
         count.load -= 1;
         count.overnight -= u32::from(place.overnight);
--- a/crates/control/src/place/duty.rs
+++ b/crates/control/src/place/duty.rs
@@ -7,21 +7,29 @@
 //! that ranks before it is heard again.
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 
 use briarshift_units::{Moment, Span, VmId};
 use briarshift_wire::gossip::Health;
-use briarshift_wire::place::Message;
+use briarshift_wire::place::{Message, Peer};
 
 use super::admit::Phase;
-use super::{Key, View, send};
-use crate::{Context, Output, Record, member};
+use super::{Key, View};
+use crate::{Context, Output, Record};
 
 /// How long a VM that did not answer is passed over.
 const DOUBT: Span = Span::from_secs(30);
-/// How long a VM that others name as admitting is believed to be.
-const TRUST: Span = Span::from_secs(1);
+/// How long a VM that others name as admitting is believed to be, after it
+/// was last heard.
+const TRUST: Span = Span::from_secs(2);
 /// How long this VM decides alone after others did not answer.
 const ALONE: Span = Span::from_secs(2);
+/// A VM that was not heard for so long may be gone.
+const SILENCE: Span = Span::from_millis(500);
+/// A VM that holds places is sent something at least so often.
+const HEARTBEAT: Span = Span::from_millis(200);
+/// How long the places are kept of a VM that is not in the list of members.
+const GONE: Span = Span::from_secs(3);
 /// Time between two looks at what must be told.
 const TELL_INTERVAL: Span = Span::from_millis(100);
 /// Time after which what is held is told again, in case a release was lost.
@@ -41,6 +49,9 @@
     alone: BTreeMap<Key, Moment>,
     told: BTreeMap<Key, Told>,
     told_at: Option<Moment>,
+    heard: BTreeMap<VmId, Moment>,
+    sent: BTreeMap<VmId, Moment>,
+    learned: BTreeMap<VmId, SocketAddr>,
 }
 
 impl State {
@@ -49,9 +60,7 @@
         if self.alone.get(key).is_some_and(|&until| ctx.at < until) {
             return &ctx.me.vm;
         }
-        let trusted = self.trusted.get(key).filter(|told| ctx.at < told.at);
-        let trusted = trusted.filter(|told| !self.is_doubted(ctx.at, &told.vm));
-        if let Some(told) = trusted.filter(|told| view.members.get(&told.vm).is_some()) {
+        if let Some(told) = self.trusted.get(key).filter(|told| self.is_trusted(ctx, told)) {
             return &told.vm;
         }
         let live = view.members.live().map(|member| &member.vm);
@@ -59,6 +68,14 @@
         key.first(open.chain([&ctx.me.vm])).unwrap_or(&ctx.me.vm)
     }
 
+    /// A VM with its address, if that is known.
+    pub fn peer(&self, ctx: &Context<'_>, view: View<'_>, vm: &VmId) -> Option<Peer> {
+        let listed = view.members.get(vm).map(|member| member.address);
+        let own = (*vm == ctx.me.vm).then_some(ctx.me.address);
+        let address = own.or(listed).or_else(|| self.learned.get(vm).copied())?;
+        Some(Peer { vm: vm.clone(), address })
+    }
+
     /// A VM did not answer.
     pub fn doubt(&mut self, ctx: &Context<'_>, vm: &VmId) {
         if *vm != ctx.me.vm {
@@ -67,14 +84,26 @@
     }
 
     /// A VM was heard.
-    pub fn heard(&mut self, vm: &VmId) {
+    pub fn heard(&mut self, at: Moment, vm: &VmId) {
         self.doubted.remove(vm);
+        self.heard.insert(vm.clone(), at);
+    }
+
+    /// Something was sent to a VM.
+    pub fn sent(&mut self, at: Moment, vm: &VmId) {
+        self.sent.insert(vm.clone(), at);
+    }
+
+    /// Where a VM listens that may not be in the list of members.
+    pub fn learn(&mut self, vm: &VmId, address: SocketAddr) {
+        self.learned.insert(vm.clone(), address);
     }
 
     /// Another VM says who admits.
-    pub fn trust(&mut self, at: Moment, key: &Key, vm: &VmId) {
-        self.doubted.remove(vm);
-        self.trusted.insert(key.clone(), Told { vm: vm.clone(), at: at + TRUST });
+    pub fn trust(&mut self, at: Moment, key: &Key, peer: Peer) {
+        self.doubted.remove(&peer.vm);
+        self.learned.insert(peer.vm.clone(), peer.address);
+        self.trusted.insert(key.clone(), Told { vm: peer.vm, at });
     }
 
     /// Nobody answers: decides here for a while.
@@ -82,31 +111,52 @@
         self.alone.insert(key.clone(), at + ALONE);
     }
 
+    /// Whether a VM has not been heard lately.
+    pub fn is_silent(&self, ctx: &Context<'_>, vm: &VmId) -> bool {
+        *vm != ctx.me.vm && SILENCE <= self.silence(ctx.at, vm)
+    }
+
+    fn silence(&self, at: Moment, vm: &VmId) -> Span {
+        at.since(self.heard.get(vm).copied().unwrap_or_default())
+    }
+
+    fn is_trusted(&self, ctx: &Context<'_>, told: &Told) -> bool {
+        let last = told.at.max(self.heard.get(&told.vm).copied().unwrap_or_default());
+        ctx.at.since(last) < TRUST && !self.is_doubted(ctx.at, &told.vm)
+    }
+
     fn is_doubted(&self, at: Moment, vm: &VmId) -> bool {
         self.doubted.get(vm).is_some_and(|&until| at < until)
     }
+
+    /// Whether a VM may still hold places.
+    fn is_known(&self, ctx: &Context<'_>, view: View<'_>, vm: &VmId) -> bool {
+        let member = view.members.get(vm);
+        let listed = member.is_some_and(|member| member.health < Health::Dead);
+        *vm == ctx.me.vm || listed || self.silence(ctx.at, vm) < GONE
+    }
 }
 
 impl super::State {
-    /// Starts to take a slice over: asks every known VM, also those that are
-    /// believed dead, what it holds and whether it admits.
+    /// Starts to take a slice over: asks the others what they hold and who
+    /// admits.
     pub(super) fn claim(&mut self, ctx: &Context<'_>, view: View<'_>, key: &Key, out: &mut Output) {
         let Some(slice) = self.slices.get_mut(key) else { return };
         slice.claim(ctx.at);
         let held = self.entry.held(key);
         slice.told(ctx.at, &ctx.me.vm, held);
-        let line = Record::new("admitting").with("pool", &key.pool).with("slice", key.slice.0);
-        out.log(line.with("phase", "claiming"));
-        for member in view.members.live() {
-            let (pool, slice) = (key.pool.clone(), key.slice);
-            send(view, &member.vm, Message::Want { pool, slice }, out);
+        self.log_phase(key, "claiming", out);
+        let live: Vec<_> = view.members.live().map(|member| member.vm.clone()).collect();
+        for vm in &live {
+            self.want(ctx, view, key, vm, out);
         }
-        if view.members.live().next().is_none() {
+        if live.is_empty() {
             self.tend(ctx, view, key, out);
         }
     }
 
-    /// Another VM is about to admit: tells it what is held here.
+    /// Another VM is about to admit: tells it what is held here, and who
+    /// admits if that is another.
     pub(super) fn wanted(
         &mut self,
         ctx: &Context<'_>,
@@ -115,20 +165,41 @@
         key: &Key,
         out: &mut Output,
     ) {
-        let ranks_first = key.first([from, &ctx.me.vm].into_iter()) == Some(&ctx.me.vm);
-        let slice = self.slices.get(key);
-        let active = slice.is_some_and(|slice| *slice.phase() != Phase::Idle);
-        let admitting = ranks_first && active;
-        let (pool, slice) = (key.pool.clone(), key.slice);
-        let places = self.entry.held(key);
-        let told = Told { vm: from.clone(), at: ctx.at };
-        if !admitting {
-            self.duty.told.insert(key.clone(), told);
+        let active = self.slices.get(key).is_some_and(|slice| *slice.phase() != Phase::Idle);
+        let first = self.duty.first(ctx, view, key).clone();
+        // This VM ranks itself first also when it has no reason to admit yet.
+        let admits = first != *from && (first != ctx.me.vm || active);
+        let ahead = key.first([from, &first].into_iter()) == Some(&first);
+        let admits = self.duty.peer(ctx, view, &first).filter(|_| admits && ahead);
+        let is_none = admits.is_none();
+        self.hold(ctx, view, key, from, admits, out);
+        if active && is_none {
+            self.step_down(ctx, view, key, out);
         }
-        send(view, from, Message::Hold { pool, slice, places, admitting }, out);
-        if active && !ranks_first {
+    }
+
+    /// A VM that was asked what it holds says that another admits.
+    pub(super) fn other_admits(
+        &mut self,
+        ctx: &Context<'_>,
+        view: View<'_>,
+        from: &VmId,
+        key: &Key,
+        peer: Peer,
+        out: &mut Output,
+    ) {
+        let me = &ctx.me.vm;
+        if peer.vm == *me || key.first([&peer.vm, me].into_iter()) == Some(me) {
+            return;
+        }
+        if peer.vm == *from {
+            self.duty.trust(ctx.at, key, peer);
             self.step_down(ctx, view, key, out);
+            return;
         }
+        let vm = peer.vm.clone();
+        self.duty.learn(&vm, peer.address);
+        self.want(ctx, view, key, &vm, out);
     }
 
     /// Stops admitting; whoever waited here is sent on.
@@ -140,12 +211,12 @@
         out: &mut Output,
     ) {
         let Some(mut slice) = self.slices.remove(key) else { return };
+        self.log_phase(key, "stepped_down", out);
         let first = self.duty.first(ctx, view, key).clone();
-        let line = Record::new("admitting").with("pool", &key.pool).with("slice", key.slice.0);
-        out.log(line.with("phase", "stepped_down").with("to", &first));
+        let Some(to) = self.duty.peer(ctx, view, &first) else { return };
         for waiting in slice.step_down() {
             let request = waiting.ask.request;
-            let message = Message::Redirect { request, to: first.clone() };
+            let message = Message::Redirect { request, to: to.clone() };
             self.reply(ctx, view, &waiting.vm, message, out);
         }
     }
@@ -161,40 +232,79 @@
         let (doubted, awaited): (Vec<_>, Vec<_>) =
             live.partition(|vm| self.duty.is_doubted(ctx.at, vm));
         let probing = !doubted.is_empty();
-        if slice.settle(ctx.at, view, &self.roster, key, &awaited, probing) {
-            let line = Record::new("admitting").with("pool", &key.pool);
-            out.log(line.with("slice", key.slice.0).with("phase", "admitting"));
-        }
+        let settled = slice.settle(ctx.at, view, &self.roster, key, &awaited, probing);
         slice.reported(view, &self.roster, key);
-        let known = |vm: &VmId| is_known(ctx, view.members, vm);
-        slice.retain(ctx.at, known);
+        slice.retain(ctx.at, |vm| self.duty.is_known(ctx, view, vm));
+        if settled {
+            self.log_phase(key, "admitting", out);
+        }
         self.serve(ctx, view, key, out);
     }
 
     /// Tells admitting VMs what is held here, when they change and now and
-    /// then.
+    /// then, and that this VM lives.
     pub(super) fn tell(&mut self, ctx: &Context<'_>, view: View<'_>, out: &mut Output) {
         if self.duty.told_at.is_some_and(|at| ctx.at.since(at) < TELL_INTERVAL) {
             return;
         }
         self.duty.told_at = Some(ctx.at);
-        for (key, places) in self.entry.slices() {
+        for key in self.entry.slices() {
             let first = self.duty.first(ctx, view, &key).clone();
-            let told = self.duty.told.get(&key);
-            let told = told.filter(|told| told.vm == first);
-            let fresh = told.is_some_and(|told| ctx.at.since(told.at) < TELL_AGAIN);
-            if first == ctx.me.vm || fresh {
+            if first == ctx.me.vm {
                 continue;
             }
-            let (pool, slice) = (key.pool.clone(), key.slice);
-            let message = Message::Hold { pool, slice, places, admitting: false };
-            send(view, &first, message, out);
-            self.duty.told.insert(key, Told { vm: first, at: ctx.at });
+            let told = self.duty.told.get(&key);
+            if told.is_some_and(|told| TELL_AGAIN <= ctx.at.since(told.at)) {
+                self.duty.told.remove(&key);
+            }
+            self.introduce(ctx, view, &key, &first, out);
+            let sent = self.duty.sent.get(&first).copied().unwrap_or_default();
+            if HEARTBEAT <= ctx.at.since(sent) && self.roster.parts(&key.pool) == 1 {
+                let message = Message::Release { requests: Vec::new() };
+                self.send(ctx, view, &first, message, out);
+            }
+        }
+    }
+
+    /// Tells a VM what is held here, unless it was the last to be told.
+    pub(super) fn introduce(
+        &mut self,
+        ctx: &Context<'_>,
+        view: View<'_>,
+        key: &Key,
+        vm: &VmId,
+        out: &mut Output,
+    ) {
+        if self.duty.told.get(key).is_none_or(|told| told.vm != *vm) {
+            self.hold(ctx, view, key, vm, None, out);
         }
     }
-}
 
-/// Whether a VM may still hold places: its member is not known to be gone.
-fn is_known(ctx: &Context<'_>, members: &member::State, vm: &VmId) -> bool {
-    *vm == ctx.me.vm || members.get(vm).is_some_and(|member| member.health < Health::Dead)
+    fn hold(
+        &mut self,
+        ctx: &Context<'_>,
+        view: View<'_>,
+        key: &Key,
+        to: &VmId,
+        admits: Option<Peer>,
+        out: &mut Output,
+    ) {
+        let address = ctx.me.address;
+        let (pool, slice) = (key.pool.clone(), key.slice);
+        let places = self.entry.held(key);
+        self.duty.told.insert(key.clone(), Told { vm: to.clone(), at: ctx.at });
+        let message = Message::Hold { address, pool, slice, places, admits };
+        self.send(ctx, view, to, message, out);
+    }
+
+    fn want(&mut self, ctx: &Context<'_>, view: View<'_>, key: &Key, to: &VmId, out: &mut Output) {
+        let address = ctx.me.address;
+        let (pool, slice) = (key.pool.clone(), key.slice);
+        self.send(ctx, view, to, Message::Want { address, pool, slice }, out);
+    }
+
+    fn log_phase(&self, key: &Key, phase: &str, out: &mut Output) {
+        let line = Record::new("admitting").with("pool", &key.pool);
+        out.log(line.with("slice", key.slice.0).with("phase", phase));
+    }
 }
--- a/crates/control/src/place/entry.rs
+++ b/crates/control/src/place/entry.rs
@@ -1,11 +1,11 @@
 //! The asking side: this VM's own requests.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use briarshift_units::{Moment, RequestId, Span, TargetId, VmId};
-use briarshift_wire::place::{Ask, Denial, Held, Message};
+use briarshift_wire::place::{Ask, Denial, Held, Message, Peer};
 
-use super::{Key, Request, Verdict, View, send};
+use super::{Key, Request, Verdict, View};
 use crate::{Context, Output, Record, Signal, target::Target};
 
 /// An ask that is not answered by then goes to the next VM.
@@ -123,14 +123,8 @@
     }
 
     /// Slices in which this VM holds places.
-    pub fn slices(&self) -> BTreeMap<Key, Vec<Held>> {
-        let mut slices: BTreeMap<Key, Vec<Held>> = BTreeMap::new();
-        for (request, place) in &self.held {
-            let (target, overnight) = (place.target.clone(), place.overnight);
-            let held = Held { request: *request, target, overnight };
-            slices.entry(place.key.clone()).or_default().push(held);
-        }
-        slices
+    pub fn slices(&self) -> BTreeSet<Key> {
+        self.held.values().map(|place| place.key.clone()).collect()
     }
 
     /// Places held in one slice.
@@ -170,15 +164,20 @@
         let (key, ask, missing) = (asked.key.clone(), asked.ask.clone(), asked.missing.clone());
         let waited = ctx.at.since(asked.since);
         let to = asked.to.clone();
+        let held_on = ask.held_on.as_ref().and_then(|(id, _)| view.targets.get(id));
+        let vouched = held_on.is_some_and(Target::takes_work);
         if to == ctx.me.vm {
-            self.asked(ctx, view, Request { from: to, key, ask, waited, missing }, out);
+            let request = Request { from: to, key, ask, waited, vouched, missing };
+            self.asked(ctx, view, request, out);
             return;
         }
+        self.introduce(ctx, view, &key, &to, out);
         let released = self.entry.releases.remove(&to).map(|batch| batch.requests);
         let released = released.unwrap_or_default();
         let waited_ms = u32::try_from(waited.as_millis()).unwrap_or(u32::MAX);
         let slice = key.slice;
-        send(view, &to, Message::Ask { ask, slice, waited_ms, missing, released }, out);
+        let message = Message::Ask { ask, slice, waited_ms, vouched, missing, released };
+        self.send(ctx, view, &to, message, out);
     }
 
     /// An ask was not answered: doubts its VM, and asks the next.
@@ -217,7 +216,7 @@
         ctx: &Context<'_>,
         view: View<'_>,
         request: RequestId,
-        to: &VmId,
+        to: Peer,
         out: &mut Output,
     ) {
         let Some(asked) = self.entry.asked.get_mut(&request) else { return };
@@ -247,8 +246,9 @@
             }
             return;
         };
-        if !view.targets.get(&target).is_some_and(Target::takes_work) {
-            // Lists disagree: this VM can't or may not use the target.
+        // A target that this VM believes dead is tried: the admitting VM may
+        // know better, and a failed connection costs little.
+        if view.targets.get(&target).is_none_or(|target| target.leaving.is_some()) {
             out.log(Record::new("grant_refused").with("request", request).with("target", &target));
             let key = asked.key.clone();
             asked.ask.avoid.push(target);
--- a/crates/control/src/place/mod.rs
+++ b/crates/control/src/place/mod.rs
@@ -17,7 +17,7 @@
 use briarshift_settings::Document;
 use briarshift_units::{Moment, RequestId, Span, TargetId, VmId};
 use briarshift_wire::Message as Frame;
-use briarshift_wire::place::{Ask, Denial, Message};
+use briarshift_wire::place::{Ask, Denial, Message, Peer};
 
 use crate::{Context, Effect, Output, cache, limit, member, target};
 use admit::{Answer, Phase, Waiting};
@@ -67,6 +67,7 @@
     key: Key,
     ask: Ask,
     waited: Span,
+    vouched: bool,
     missing: Option<VmId>,
 }
 
@@ -112,35 +113,36 @@
         out: &mut Output,
     ) {
         self.wake(ctx, view, out);
-        self.duty.heard(from);
+        self.duty.heard(ctx.at, from);
         match message {
-            Message::Ask { ask, slice, waited_ms, missing, released } => {
+            Message::Ask { ask, slice, waited_ms, vouched, missing, released } => {
                 self.released(ctx, view, &released, out);
                 let key = Key { pool: ask.pool.clone(), slice };
                 let waited = Span::from_millis(u64::from(waited_ms));
                 let from = from.clone();
-                self.asked(ctx, view, Request { from, key, ask, waited, missing }, out);
+                self.asked(ctx, view, Request { from, key, ask, waited, vouched, missing }, out);
             }
             Message::Queued { request } => self.entry.queued(ctx.at, request),
             Message::Grant { request, target } => {
                 self.granted(ctx, view, from, request, target, out);
             }
             Message::Deny { request, reason } => self.entry.denied(request, reason, out),
-            Message::Redirect { request, to } => self.redirected(ctx, view, request, &to, out),
+            Message::Redirect { request, to } => self.redirected(ctx, view, request, to, out),
             Message::Release { requests } => self.released(ctx, view, &requests, out),
-            Message::Want { pool, slice } => {
+            Message::Want { address, pool, slice } => {
+                self.duty.learn(from, address);
                 self.wanted(ctx, view, from, &Key { pool, slice }, out);
             }
-            Message::Hold { pool, slice, places, admitting } => {
+            Message::Hold { address, pool, slice, places, admits } => {
+                self.duty.learn(from, address);
                 let key = Key { pool, slice };
-                if admitting && *self.duty.first(ctx, view, &key) == *from {
-                    self.step_down(ctx, view, &key, out);
-                    return;
-                }
                 if let Some(slice) = self.slices.get_mut(&key) {
                     slice.told(ctx.at, from, places);
-                    self.serve(ctx, view, &key, out);
                 }
+                if let Some(peer) = admits {
+                    self.other_admits(ctx, view, from, &key, peer, out);
+                }
+                self.serve(ctx, view, &key, out);
             }
         }
     }
@@ -153,7 +155,7 @@
             self.ask_again(ctx, view, request, out);
         }
         for (vm, requests) in self.entry.due_releases(ctx.at) {
-            send(view, &vm, Message::Release { requests }, out);
+            self.send(ctx, view, &vm, Message::Release { requests }, out);
         }
         self.tell(ctx, view, out);
         let keys: Vec<_> = self.slices.keys().cloned().collect();
@@ -189,14 +191,16 @@
 
     /// Takes an ask as the VM that may admit for it.
     fn asked(&mut self, ctx: &Context<'_>, view: View<'_>, request: Request, out: &mut Output) {
-        let Request { from, key, ask, waited, missing } = request;
+        let Request { from, key, ask, waited, vouched, missing } = request;
         let id = ask.request;
         if let Some(missing) = missing {
             self.duty.doubt(ctx, &missing);
         }
         let first = self.duty.first(ctx, view, &key).clone();
         if first != ctx.me.vm {
-            self.reply(ctx, view, &from, Message::Redirect { request: id, to: first }, out);
+            if let Some(to) = self.duty.peer(ctx, view, &first) {
+                self.reply(ctx, view, &from, Message::Redirect { request: id, to }, out);
+            }
             return;
         }
         let slice = self.slices.entry(key.clone()).or_default();
@@ -223,7 +227,7 @@
             let since = Moment(ctx.at.0.saturating_sub(waited.0));
             let pool = view.document.pools.iter().find(|pool| pool.id == key.pool);
             let limit = pool.map_or(0, |pool| pool.queue_length);
-            let shed = slice.enqueue(Waiting { vm: from.clone(), ask, since }, limit);
+            let shed = slice.enqueue(Waiting { vm: from.clone(), ask, vouched, since }, limit);
             if let Some(answer) = shed {
                 self.answer(ctx, view, answer, out);
             }
@@ -237,7 +241,9 @@
 
     fn serve(&mut self, ctx: &Context<'_>, view: View<'_>, key: &Key, out: &mut Output) {
         let Some(slice) = self.slices.get_mut(key) else { return };
-        let answers = slice.serve(ctx.at, view, &self.roster, key, out);
+        let duty = &self.duty;
+        let silent = |vm: &VmId| duty.is_silent(ctx, vm);
+        let answers = slice.serve(ctx.at, view, &self.roster, key, silent, out);
         for answer in answers {
             self.answer(ctx, view, answer, out);
         }
@@ -262,7 +268,7 @@
         out: &mut Output,
     ) {
         if *to != ctx.me.vm {
-            send(view, to, message, out);
+            self.send(ctx, view, to, message, out);
             return;
         }
         match message {
@@ -270,11 +276,25 @@
                 self.granted(ctx, view, to, request, target, out);
             }
             Message::Deny { request, reason } => self.entry.denied(request, reason, out),
-            Message::Redirect { request, to } => self.redirected(ctx, view, request, &to, out),
+            Message::Redirect { request, to } => self.redirected(ctx, view, request, to, out),
             _ => {}
         }
     }
 
+    /// Sends a message to a VM whose address is known.
+    fn send(
+        &mut self,
+        ctx: &Context<'_>,
+        view: View<'_>,
+        to: &VmId,
+        message: Message,
+        out: &mut Output,
+    ) {
+        let Some(Peer { vm, address }) = self.duty.peer(ctx, view, to) else { return };
+        self.duty.sent(ctx.at, &vm);
+        out.push(Effect::Send { to: vm, address, message: Frame::Place(message) });
+    }
+
     fn released(
         &mut self,
         ctx: &Context<'_>,
@@ -306,9 +326,3 @@
         self.serve(ctx, view, key, out);
     }
 }
-
-fn send(view: View<'_>, to: &VmId, message: Message, out: &mut Output) {
-    let Some(member) = view.members.get(to) else { return };
-    let (to, address) = (to.clone(), member.address);
-    out.push(Effect::Send { to, address, message: Frame::Place(message) });
-}
--- a/crates/routing/src/board.rs
+++ b/crates/routing/src/board.rs
@@ -6,6 +6,8 @@
 //! then the chat's own rendezvous order. No target is given a place above the
 //! bound, whatever the preference.
 
+use std::cmp::Reverse;
+
 use briarshift_units::{ChatKey, Span, Start, TargetId};
 
 use crate::{bound, rank};
@@ -21,6 +23,9 @@
     pub load: u32,
     /// Of these, overnight work.
     pub overnight: u32,
+    /// Open to all; else only to chats whose context it holds, because only
+    /// the VM that asks believes it to take work.
+    pub open: bool,
 }
 
 /// What bounds a target's load.
@@ -75,6 +80,9 @@
     Rank,
     /// Next in that order: those before it are at the bound.
     NextRank,
+    /// Holds least, for a chat that can't have its context: whichever target
+    /// it moves to will hold it from then on.
+    LeastLoaded,
 }
 
 impl Why {
@@ -84,6 +92,7 @@
             Self::HoldsContext => "holds_context",
             Self::Rank => "rank",
             Self::NextRank => "next_rank",
+            Self::LeastLoaded => "least_loaded",
         }
     }
 }
@@ -122,7 +131,7 @@
     /// use briarshift_routing::board::{Board, Bound, Choice, Seat, Want, Why};
     /// use briarshift_units::{ChatKey, Span, Start};
     /// let id = "e-1".parse().unwrap();
-    /// let seat = Seat { target: &id, start: Start(1), load: 0, overnight: 0 };
+    /// let seat = Seat { target: &id, start: Start(1), load: 0, overnight: 0, open: true };
     /// let bound = Bound::Fixed(1);
     /// let board = Board { seats: vec![seat], bound, other_load: 0, other_targets: 0 };
     /// let held_on = Some((&id, Start(1)));
@@ -135,9 +144,6 @@
         let seats = self.seats.iter().enumerate();
         let allowed = seats.filter(|(_, seat)| !want.avoid.contains(seat.target));
         let allowed: Vec<_> = allowed.collect();
-        if allowed.is_empty() {
-            return Choice::Empty;
-        }
         let held = want.held_on.and_then(|(id, start)| {
             allowed.iter().find(|(_, seat)| seat.target == id && seat.start == start)
         });
@@ -149,7 +155,18 @@
                 return Choice::WaitForContext;
             }
         }
+        let allowed: Vec<_> = allowed.into_iter().filter(|(_, seat)| seat.open).collect();
+        if allowed.is_empty() {
+            return Choice::Empty;
+        }
         let open = allowed.iter().filter(|(_, seat)| self.has_room(seat, want.overnight, cap));
+        if want.held_on.is_some() {
+            let key = |seat: &Seat<'_>| {
+                (seat.load, Reverse(rank::score(want.chat, seat.target.as_str())))
+            };
+            let least = open.min_by_key(|(_, seat)| key(seat));
+            return least.map_or(Choice::WaitForAny, |&(i, _)| Choice::Seat(i, Why::LeastLoaded));
+        }
         let Some(&(index, _)) = rank::best(want.chat, open, |(_, seat)| seat.target.as_str())
         else {
             return Choice::WaitForAny;
--- a/crates/wire/src/place.rs
+++ b/crates/wire/src/place.rs
@@ -3,6 +3,8 @@
 //! One VM admits for each pool slice and counts its places exactly. Others
 //! ask it for a place, and release the place when the request has ended.
 
+use std::net::SocketAddr;
+
 use briarshift_units::{AccountId, ChatKey, PoolId, RequestId, Start, TargetId, VmId};
 use serde::{Deserialize, Serialize};
 
@@ -52,6 +54,15 @@
     pub overnight: bool,
 }
 
+/// A VM, and where it listens.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Peer {
+    /// The VM.
+    pub vm: VmId,
+    /// Its peer listener.
+    pub address: SocketAddr,
+}
+
 /// A part of a pool that one VM admits for: `parts + index`, so that the
 /// number tells into how many parts (a power of two) the pool is cut. A whole
 /// pool is slice 1.
@@ -70,6 +81,9 @@
         slice: Slice,
         /// Time the request has waited already, in milliseconds.
         waited_ms: u32,
+        /// The target that holds the context takes work, as the sender
+        /// believes.
+        vouched: bool,
         /// The VM that should have answered and did not.
         missing: Option<VmId>,
         /// Requests of the sender that have ended, carried along.
@@ -99,7 +113,7 @@
         /// The request.
         request: RequestId,
         /// Who admits, as the sender believes.
-        to: VmId,
+        to: Peer,
     },
     /// Requests that have ended, or whose caller went away before the grant.
     Release {
@@ -108,20 +122,25 @@
     },
     /// The sender is about to admit for a slice: answer with [`Self::Hold`].
     Want {
+        /// Where the sender listens; the receiver may not know it.
+        address: SocketAddr,
         /// The pool.
         pool: PoolId,
         /// The slice.
         slice: Slice,
     },
-    /// All places the sender holds in a slice.
+    /// All places the sender holds in a slice. Sent also before the first
+    /// ask to a VM.
     Hold {
+        /// Where the sender listens; the receiver may not know it.
+        address: SocketAddr,
         /// The pool.
         pool: PoolId,
         /// The slice.
         slice: Slice,
         /// The places.
         places: Vec<Held>,
-        /// The sender itself admits for the slice and ranks first.
-        admitting: bool,
+        /// Who admits, as the sender believes, if it is not the receiver.
+        admits: Option<Peer>,
     },
 }
