--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -11,6 +11,7 @@
 //! request); the modules never call each other.
 
 mod context;
+mod damper;
 mod effect;
 mod event;
 mod record;
@@ -29,6 +30,7 @@
 pub mod usage;
 
 pub use context::{Context, Identity, Output};
+pub use damper::Damper;
 pub use effect::{Effect, Ticket};
 pub use event::{Event, Kind};
 pub use record::Record;
--- /dev/null
+++ b/crates/control/src/member/digest.rs
@@ -0,0 +1,142 @@
+//! What a message of gossip says about members, within its bytes.
+
+use std::ops::Bound;
+
+use briarshift_units::Moment;
+use briarshift_wire::gossip::Message;
+
+use super::{Purpose, Round, State};
+use crate::Context;
+
+/// Bytes a second for news beside the rounds.
+const NEWS_RATE: u64 = 4_000;
+/// Bytes of news that may be sent at once.
+const NEWS_BURST: u64 = 8_000;
+/// Bytes that UDP, IP and QUIC add to a message.
+const OVERHEAD: usize = 80;
+/// Bytes of a message beside its records: version, lengths, flags, the
+/// document's head.
+const HEAD: usize = 64;
+/// Records without news that a message repeats, so that whoever missed the
+/// news learns it.
+const REPEATED: usize = 6;
+/// Share of a message that members' news may take, as a divisor.
+const NEWS_SHARE: usize = 2;
+
+/// Bytes left for news.
+#[derive(Debug)]
+pub(crate) struct Allowance {
+    level: i64,
+    at: Moment,
+}
+
+impl Default for Allowance {
+    fn default() -> Self {
+        Self { level: NEWS_BURST as i64, at: Moment(0) }
+    }
+}
+
+impl Allowance {
+    /// Refills by time, and says whether any is left.
+    pub(crate) fn is_left(&mut self, at: Moment) -> bool {
+        let micros = u128::from(at.since(self.at).0);
+        let gained = u128::from(NEWS_RATE) * micros / 1_000_000;
+        if 0 < gained {
+            let full = NEWS_BURST as i64;
+            self.level = self.level.saturating_add(gained.min(NEWS_BURST.into()) as i64).min(full);
+            self.at = at;
+        }
+        0 < self.level
+    }
+
+    fn spend(&mut self, bytes: usize) {
+        self.level -= bytes as i64;
+    }
+}
+
+/// Counts what a message may still carry.
+#[derive(Debug)]
+pub struct Room(usize);
+
+impl Room {
+    /// Takes up a record of this many bytes, if it fits.
+    pub(crate) fn take(&mut self, bytes: usize) -> bool {
+        let fits = bytes <= self.0;
+        self.0 -= if fits { bytes } else { 0 };
+        fits
+    }
+
+    /// A part of the room.
+    pub(crate) fn share(&self, divisor: usize) -> Self {
+        Self(self.0 / divisor)
+    }
+
+    /// The room but for some bytes that are kept for something else.
+    pub(crate) fn without(&self, bytes: usize) -> Self {
+        Self(self.0.saturating_sub(bytes))
+    }
+}
+
+impl State {
+    /// Begins a message: this VM, what the receiver must see, and news.
+    pub(crate) fn begin(&mut self, ctx: &Context<'_>, round: &Round) -> (Message, Room) {
+        let own = self.own(ctx);
+        let mut room = Room(round.purpose.limit() - HEAD);
+        room.take(own.weight());
+        self.own_news = self.own_news.saturating_sub(1);
+        let mut message = Message {
+            members: vec![own],
+            probe: round.purpose == Purpose::Probe,
+            relay: round.relay.clone(),
+            vouch: round.vouch.clone(),
+            ..Message::default()
+        };
+        if let Some(told) = round.tell.clone().filter(|told| room.take(told.weight())) {
+            message.members.push(told);
+        }
+        let mut part = room.share(NEWS_SHARE);
+        let mut news: Vec<_> = self.entries.values_mut().filter(|entry| 0 < entry.news).collect();
+        news.sort_by_key(|entry| std::cmp::Reverse(entry.changed_at));
+        for entry in news {
+            let weight = entry.member.weight();
+            if part.take(weight) && room.take(weight) {
+                entry.news -= 1;
+                message.members.push(entry.member.clone());
+            }
+        }
+        (message, room)
+    }
+
+    /// Ends a message: repeats members in turn, while there is room.
+    pub(crate) fn end(
+        &mut self,
+        ctx: &Context<'_>,
+        purpose: Purpose,
+        message: &mut Message,
+        room: &mut Room,
+    ) {
+        if purpose == Purpose::News {
+            let bytes: usize = message.weight() + OVERHEAD;
+            self.allowance.is_left(ctx.at);
+            self.allowance.spend(bytes);
+            return;
+        }
+        for _ in 0..REPEATED.min(self.entries.len()) {
+            let after = self.cursor.as_ref().map_or(Bound::Unbounded, Bound::Excluded);
+            let next = self.entries.range((after, Bound::Unbounded)).next();
+            let Some((vm, entry)) = next else {
+                self.cursor = None;
+                continue;
+            };
+            let known =
+                entry.is_worth_telling(ctx.at) && message.members.iter().all(|told| &told.vm != vm);
+            if known && !room.take(entry.member.weight()) {
+                return;
+            }
+            if known {
+                message.members.push(entry.member.clone());
+            }
+            self.cursor = Some(vm.clone());
+        }
+    }
+}
--- a/crates/control/src/signal.rs
+++ b/crates/control/src/signal.rs
@@ -4,7 +4,7 @@
 use briarshift_units::{Fingerprint, PoolId, RequestId, TargetId};
 use briarshift_wire::place::Ask;
 
-use crate::{booking, place, usage};
+use crate::{booking, member, place, usage};
 
 /// Sent by one concern, carried to another by [`crate::State`] before the
 /// next event.
@@ -36,4 +36,8 @@
     Use(usage::Sample),
     /// An attempt was sent to a pool's target.
     Sent(PoolId),
+    /// A message of gossip is due.
+    Round(member::Round),
+    /// Something should reach the peers before the next round.
+    News,
 }
--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -44,6 +44,13 @@
         }
     }
 
+    /// Proposes peers from the settings, to join through.
+    pub fn seed(&mut self, peers: impl IntoIterator<Item = member::Seed>) {
+        for peer in peers {
+            self.members.seed(peer);
+        }
+    }
+
     /// Numbers for gauges.
     pub fn counts(&self) -> Counts {
         Counts {
@@ -107,7 +114,10 @@
                 requests.apply(ctx, view, event, out);
             }),
             Kind::Peer { from, message } => match message {
-                Message::Gossip(message) => self.members.gossip(ctx, &from, &message, out),
+                Message::Gossip(message) => {
+                    self.members.gossip(ctx, &from, &message, out);
+                    self.targets.gossip(ctx, &message.loads, out);
+                }
                 Message::Place(message) => self.with_places(|places, view| {
                     places.peer(ctx, view, &from, message, out);
                 }),
@@ -122,20 +132,23 @@
             },
             Kind::List(Ok(rows)) => {
                 self.members.list(ctx, &rows);
-                self.targets.list(&rows);
+                self.targets.list(ctx, &rows, out);
             }
             Kind::List(Err(_)) => {}
             Kind::Load { target, result } => self.targets.load(ctx, &target, result, out),
             Kind::Changes { .. } => {}
             Kind::Ordered { target, result } => self.orders.ordered(ctx, &target, result, out),
-            Kind::Drain => self.requests.drain(),
+            Kind::Drain => {
+                self.requests.drain();
+                self.members.leave(out);
+            }
         }
     }
 
     fn tick(&mut self, ctx: &Context<'_>, out: &mut Output) {
         self.document.tick(ctx, out);
         self.members.tick(ctx, out);
-        self.targets.tick(ctx, out);
+        self.targets.tick(ctx, &self.members, out);
         self.with_places(|places, view| places.tick(ctx, view, out));
         self.orders.tick(ctx, out);
         self.usage.tick(ctx, out);
@@ -156,7 +169,7 @@
             }),
             Signal::Settle(id, outcome) => self.bookings.settle(ctx, id, outcome, out),
             Signal::Unclaim(id) => self.bookings.unclaim(id, out),
-            Signal::Suspect(target) => self.targets.suspect(&target),
+            Signal::Suspect(target) => self.targets.suspect(ctx, &target, out),
             Signal::Strike(fingerprint, target) => {
                 self.poison.strike(ctx, fingerprint, &target, out);
             }
@@ -168,9 +181,20 @@
             }
             Signal::Use(sample) => self.usage.count(&sample),
             Signal::Sent(_) => {}
+            Signal::Round(round) => self.round(ctx, round, out),
+            Signal::News => self.members.news(),
         }
     }
 
+    /// Fills a message of gossip with what each concern has to tell.
+    fn round(&mut self, ctx: &Context<'_>, round: member::Round, out: &mut Output) {
+        let (mut message, mut room) = self.members.begin(ctx, &round);
+        self.targets.fill(ctx, round.purpose, &mut message, &mut room);
+        self.members.end(ctx, round.purpose, &mut message, &mut room);
+        let member::Round { to, address, .. } = round;
+        out.push(Effect::Send { to, address, message: Message::Gossip(message) });
+    }
+
     fn with_requests(&mut self, apply: impl FnOnce(&mut request::State, request::View<'_>)) {
         let view = request::View {
             document: self.document.current(),
--- a/crates/wire/src/gossip.rs
+++ b/crates/wire/src/gossip.rs
@@ -1,12 +1,38 @@
 //! Membership, target load and document heads.
+//!
+//! A round of gossip must fit one datagram, and every node has a budget of
+//! bytes. Each record therefore knows its encoded length ([`Member::weight`],
+//! [`Load::weight`]), so that a sender fills a message up to a limit without
+//! encoding it twice.
 
 use std::net::SocketAddr;
 
-use briarshift_units::{DataCentre, Start, TargetId, VmId};
+use briarshift_units::{DataCentre, Fencing, ModelId, Start, TargetId, VmId};
 use serde::{Deserialize, Serialize};
 
 use crate::document::Head;
 
+/// Bytes of a digest, its length included.
+const DIGEST: usize = 33;
+/// Bytes of a frame beside its records: version, kind, two lengths, flags.
+const ENVELOPE: usize = 2 + 2 * 3 + 4;
+/// Bytes of a variant, an option's tag or a flag.
+const TAG: usize = 1;
+
+/// Encoded length of an integer: seven bits a byte.
+fn integer(value: u64) -> usize {
+    (64 - value.leading_zeros() as usize).div_ceil(7).max(1)
+}
+
+fn text(text: &str) -> usize {
+    integer(text.len() as u64) + text.len()
+}
+
+fn address(address: &SocketAddr) -> usize {
+    let ip = if address.is_ipv4() { 4 } else { 16 };
+    TAG + ip + integer(address.port().into())
+}
+
 /// What is believed of an entry VM. Later variants win at equal version.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub enum Health {
@@ -37,6 +63,36 @@
     pub health: Health,
 }
 
+impl Member {
+    /// Whether this record replaces `other`: a larger start, else a higher
+    /// version, else the worse health. Only the VM itself raises its version.
+    pub fn replaces(&self, other: &Self) -> bool {
+        let order = |member: &Self| (member.start, member.version, member.health);
+        order(other) < order(self)
+    }
+
+    /// Its encoded length, in bytes.
+    pub fn weight(&self) -> usize {
+        let texts = text(self.vm.as_str()) + text(self.data_centre.as_str());
+        let numbers = integer(self.start.0) + integer(self.version);
+        texts + address(&self.address) + numbers + TAG
+    }
+}
+
+/// Whether a target is leaving, and who says so. Later variants win.
+#[derive(
+    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub enum Leaving {
+    /// It is not.
+    #[default]
+    No,
+    /// The platform's list says so.
+    Listed,
+    /// The target itself says so.
+    Reported,
+}
+
 /// One target's load as its polling VM last saw it.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Load {
@@ -48,12 +104,40 @@
     pub running: u32,
     /// Requests queued on it.
     pub waiting: u32,
-    /// It takes no new work.
-    pub leaving: bool,
+    /// Whether it is leaving.
+    pub leaving: Leaving,
+    /// It did not answer its poller.
+    pub down: bool,
+    /// Models it serves.
+    pub models: Vec<ModelId>,
+    /// Newest fencing number it has seen, if it checks them.
+    pub fencing: Option<Fencing>,
     /// Age of the report when it was sent, in milliseconds.
     pub age_ms: u32,
 }
 
+impl Load {
+    /// Its encoded length, in bytes.
+    pub fn weight(&self) -> usize {
+        let models: usize = self.models.iter().map(|model| text(model.as_str())).sum();
+        let models = integer(self.models.len() as u64) + models;
+        let counts = [self.running, self.waiting, self.age_ms];
+        let counts: usize = counts.into_iter().map(|count| integer(count.into())).sum();
+        let fencing = TAG + self.fencing.map_or(0, |fencing| integer(fencing.0));
+        let numbers = integer(self.start.0) + counts + fencing;
+        text(self.target.as_str()) + numbers + 2 * TAG + models
+    }
+}
+
+/// Evidence that a VM answered the sender just now.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Vouch {
+    /// The VM that answered.
+    pub vm: VmId,
+    /// Start number of the process that answered.
+    pub start: Start,
+}
+
 /// One round of gossip.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Message {
@@ -65,4 +149,32 @@
     pub document: Option<Head>,
     /// Whether the receiver should answer with its own round at once.
     pub probe: bool,
+    /// A VM that did not answer the sender; the receiver probes it and vouches
+    /// for it if it answers.
+    pub relay: Option<VmId>,
+    /// Answers [`Message::relay`].
+    pub vouch: Option<Vouch>,
+}
+
+impl Message {
+    /// Its encoded length in a frame, in bytes; at most 8 more than the truth.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use briarshift_wire::{Frame, Message, gossip};
+    /// let message = gossip::Message::default();
+    /// let frame = Frame::encode(&Message::Gossip(message.clone())).unwrap();
+    /// assert!(frame.as_bytes().len() <= message.weight());
+    /// ```
+    pub fn weight(&self) -> usize {
+        let members: usize = self.members.iter().map(Member::weight).sum();
+        let loads: usize = self.loads.iter().map(Load::weight).sum();
+        let head = |head: &Head| integer(head.revision.0) + DIGEST;
+        let relay = self.relay.as_ref().map_or(0, |vm| text(vm.as_str()));
+        let vouched = |vouch: &Vouch| text(vouch.vm.as_str()) + integer(vouch.start.0);
+        let vouch = self.vouch.as_ref().map_or(0, vouched);
+        let document = self.document.as_ref().map_or(0, head);
+        ENVELOPE + members + loads + document + relay + vouch
+    }
 }
--- a/crates/wire/tests/all/main.rs
+++ b/crates/wire/tests/all/main.rs
@@ -1,3 +1,4 @@
 //! Tests of the messages' codec.
 
 mod codec;
+mod gossip;
