--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -6,8 +6,8 @@
 
 use crate::status::{self, Counts, Status};
 use crate::{
-    Context, Effect, Event, Identity, Kind, Output, Signal, Ticket, booking, document, member,
-    order, place, poison, request, target, usage,
+    Context, Effect, Event, Identity, Kind, Output, Signal, Ticket, booking, cache, document,
+    member, order, place, poison, request, target, usage,
 };
 
 /// All that an entry VM knows.
@@ -18,6 +18,7 @@
     members: member::State,
     targets: target::State,
     places: place::State,
+    cache: cache::State,
     requests: request::State,
     bookings: booking::State,
     poison: poison::State,
@@ -35,6 +36,7 @@
             members: member::State::default(),
             targets: target::State::default(),
             places: place::State::default(),
+            cache: cache::State::default(),
             requests: request::State::default(),
             bookings: booking::State::default(),
             poison: poison::State::default(),
@@ -94,7 +96,11 @@
         let me = Arc::clone(&self.me);
         let ctx = Context { at: event.at, wall: event.wall, entropy: event.entropy, me: &me };
         let mut out = Output::default();
+        let revision = self.document.revision();
         self.dispatch(&ctx, event.kind, &mut out);
+        if revision != self.document.revision() {
+            out.signal(Signal::News);
+        }
         while !out.signals.is_empty() {
             for signal in std::mem::take(&mut out.signals) {
                 self.signal(&ctx, signal, &mut out);
@@ -104,6 +110,7 @@
             self.drained = true;
             out.push(Effect::Drained);
         }
+        document::fill(self.document.in_force(), &mut out.effects);
         out.effects
     }
 
@@ -117,15 +124,19 @@
                 Message::Gossip(message) => {
                     self.members.gossip(ctx, &from, &message, out);
                     self.targets.gossip(ctx, &message.loads, out);
+                    self.document.head(ctx, &self.members, &from, message.document, out);
                 }
                 Message::Place(message) => self.with_places(|places, view| {
                     places.peer(ctx, view, &from, message, out);
                 }),
-                Message::Document(_) => {}
+                Message::Document(message) => {
+                    self.document.peer(ctx, &self.members, &from, message, out);
+                }
                 Message::Poison(message) => self.poison.peer(ctx, &from, message, out),
             },
             Kind::Store { ticket, result } => match ticket {
                 Ticket::Document => self.document.store(ctx, result, out),
+                Ticket::Report => self.document.reported(&result),
                 Ticket::Booking(claim) => self.bookings.store(ctx, claim, result, out),
                 Ticket::Order(pool) => self.orders.store(ctx, &pool, result, out),
                 Ticket::Usage => self.usage.store(ctx, result, out),
@@ -136,7 +147,7 @@
             }
             Kind::List(Err(_)) => {}
             Kind::Load { target, result } => self.targets.load(ctx, &target, result, out),
-            Kind::Changes { .. } => {}
+            Kind::Changes { target, result } => self.cache.changes(&target, result, out),
             Kind::Ordered { target, result } => self.orders.ordered(ctx, &target, result, out),
             Kind::Drain => {
                 self.requests.drain();
@@ -146,10 +157,11 @@
     }
 
     fn tick(&mut self, ctx: &Context<'_>, out: &mut Output) {
-        self.document.tick(ctx, out);
+        self.document.tick(ctx, &self.members, out);
         self.members.tick(ctx, out);
         self.targets.tick(ctx, &self.members, out);
         self.with_places(|places, view| places.tick(ctx, view, out));
+        self.cache.tick(ctx, &self.targets, self.places.admitted(), out);
         self.orders.tick(ctx, out);
         self.usage.tick(ctx, out);
     }
@@ -189,6 +201,7 @@
     /// Fills a message of gossip with what each concern has to tell.
     fn round(&mut self, ctx: &Context<'_>, round: member::Round, out: &mut Output) {
         let (mut message, mut room) = self.members.begin(ctx, &round);
+        message.document = self.document.in_force();
         self.targets.fill(ctx, round.purpose, &mut message, &mut room);
         self.members.end(ctx, round.purpose, &mut message, &mut room);
         let member::Round { to, address, .. } = round;
@@ -206,7 +219,12 @@
 
     fn with_places(&mut self, apply: impl FnOnce(&mut place::State, place::View<'_>)) {
         let Some(document) = self.document.current() else { return };
-        let view = place::View { targets: &self.targets, members: &self.members, document };
+        let view = place::View {
+            targets: &self.targets,
+            members: &self.members,
+            document,
+            cache: &self.cache,
+        };
         apply(&mut self.places, view);
     }
 }
