--- a/crates/control/tests/all/main.rs
+++ b/crates/control/tests/all/main.rs
@@ -1,9 +1,12 @@
 //! Tests of the control reducer and its concerns.
 
 mod booking;
+mod member;
+mod member_fleet;
 mod order;
 mod poison;
 mod request;
 mod retry;
+mod target;
 mod usage;
 mod world;
