--- a/crates/control/src/document/mod.rs
+++ b/crates/control/src/document/mod.rs
@@ -43,6 +43,7 @@
 #[derive(Debug, Default)]
 pub struct State {
     held: Option<Held>,
+    /// The last revision that was invalid.
     refused: Revision,
     started_at: Option<Moment>,
     has_read: bool,
@@ -77,11 +78,18 @@
         self.held.as_ref().map(|held| held.head)
     }
 
-    /// The newest revision that this VM has seen whole, valid or not.
+    /// The newest revision that this VM has read, valid or not.
     fn known(&self) -> Revision {
         self.revision().max(self.refused)
     }
 
+    /// Whether a revision may replace the one in force. One below a refused
+    /// one may: a VM that starts while the store holds an invalid document
+    /// takes the last valid one from its peers.
+    fn is_newer(&self, revision: Revision) -> bool {
+        self.revision() < revision && revision != self.refused
+    }
+
     /// Keeps the watch, the pull and the report going.
     pub fn tick(&mut self, ctx: &Context<'_>, peers: &dyn Peers, out: &mut Output) {
         if self.worked_at.is_some_and(|at| ctx.at.since(at) < INTERVAL) {
@@ -147,7 +155,7 @@
                 self.has_read = true;
                 let Some(entry) = entry else { return };
                 let revision = Revision(entry.version.0);
-                if revision <= self.known() {
+                if !self.is_newer(revision) {
                     return;
                 }
                 self.watch.read(ctx.at);
@@ -206,8 +214,8 @@
     }
 
     fn pull(&mut self, ctx: &Context<'_>, peers: &dyn Peers, out: &mut Output) {
-        let (known, in_force) = (self.known(), self.revision());
-        if let Some((from, message)) = self.puller.ask(ctx.at, ctx.entropy, known, in_force) {
+        let (revision, refused) = (self.revision(), self.refused);
+        if let Some((from, message)) = self.puller.ask(ctx.at, ctx.entropy, revision, refused) {
             send(peers, &from, message, out);
         }
     }
@@ -228,6 +236,7 @@
             }
             Progress::Failed => {
                 out.log(Record::new("document_pull_failed").with("from", from));
+                self.pull(ctx, peers, out);
             }
             Progress::Stray => {}
         }
@@ -243,7 +252,7 @@
         from: &str,
         out: &mut Output,
     ) {
-        if head.revision <= self.known() {
+        if !self.is_newer(head.revision) {
             return;
         }
         let document = match Document::parse(&bytes) {
--- a/crates/control/src/document/pull.rs
+++ b/crates/control/src/document/pull.rs
@@ -77,30 +77,31 @@
         self.named.retain(|_, named| at.since(named.at) < MEMORY);
     }
 
-    /// Whom to ask for what, if a peer runs something newer than `known` and
-    /// no answer is awaited.
+    /// Whom to ask for what, if a peer runs something newer than `revision`,
+    /// other than the one `refused`, and no answer is awaited.
     pub(super) fn ask(
         &mut self,
         at: Moment,
         entropy: u64,
-        known: Revision,
-        in_force: Revision,
+        revision: Revision,
+        refused: Revision,
     ) -> Option<(VmId, Message)> {
-        if self.pull.as_ref().is_some_and(|pull| pull.goal.revision <= known) {
+        let is_newer = |head: Head| revision < head.revision && head.revision != refused;
+        if self.pull.as_ref().is_some_and(|pull| !is_newer(pull.goal)) {
             self.pull = None;
         }
         if self.pull.as_ref().is_some_and(|pull| at.since(pull.asked_at) < TIMEOUT) {
             return None;
         }
         let last = self.pull.take();
-        let goal = self.goal(known, last.as_ref())?;
+        let goal = self.goal(is_newer, last.as_ref())?;
         let failed = last.as_ref().map(|pull| pull.from.clone());
         let from = self.source(goal, entropy, failed.as_ref())?;
         let same = last.filter(|pull| pull.goal == goal);
         let (bytes, whole) = same.map_or((Vec::new(), false), |pull| (pull.bytes, pull.whole));
         let message = match whole || !bytes.is_empty() {
             true => need(goal, &bytes),
-            false => Message::Want { revision: in_force },
+            false => Message::Want { revision },
         };
         self.pull = Some(Pull { goal, from: from.clone(), asked_at: at, bytes, whole });
         Some((from, message))
@@ -108,13 +109,13 @@
 
     /// The head to pull: the one begun as long as a peer has it, else the
     /// newest.
-    fn goal(&self, known: Revision, last: Option<&Pull>) -> Option<Head> {
+    fn goal(&self, is_newer: impl Fn(Head) -> bool, last: Option<&Pull>) -> Option<Head> {
         let has = |goal: &Head| self.named.values().any(|named| named.head == *goal);
         if let Some(pull) = last.filter(|pull| !pull.bytes.is_empty() && has(&pull.goal)) {
             return Some(pull.goal);
         }
         let heads = self.named.values().map(|named| named.head);
-        heads.filter(|head| known < head.revision).max_by_key(|head| head.revision)
+        heads.filter(|&head| is_newer(head)).max_by_key(|head| head.revision)
     }
 
     /// A peer that has the goal; another than the one that failed, if any.
--- a/crates/control/src/document/watch.rs
+++ b/crates/control/src/document/watch.rs
@@ -20,7 +20,7 @@
 /// Time between two requests to take over.
 const TAKEOVER_INTERVAL: Span = Span::from_secs(4);
 /// Failed watches in a row after which another VM is asked to take over.
-const MAX_FAILURES: u32 = 2;
+const MAX_FAILURES: u32 = 1;
 /// How many VMs in a row are asked to take over: an outage of the whole
 /// service must not bring all VMs to its door.
 const MAX_RANK: u8 = 2;
--- /dev/null
+++ b/crates/control/tests/all/main.rs
@@ -0,0 +1,3 @@
+//! Tests of the control reducer.
+
+mod document;
