--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -95,7 +95,8 @@
                 self.signal(&ctx, signal, &mut out);
             }
         }
-        if self.requests.is_draining() && self.requests.is_empty() && !self.drained {
+        let drained = self.requests.is_draining() && self.requests.is_empty();
+        if drained && self.usage.is_settled(ctx.at) && !self.drained {
             self.drained = true;
             out.push(Effect::Drained);
         }
@@ -126,17 +127,20 @@
                 Ticket::Document => self.document.store(ctx, result, out),
                 Ticket::Report => self.document.reported(&result),
                 Ticket::Booking(claim) => self.bookings.store(ctx, claim, result, out),
-                Ticket::Order(pool) => self.orders.store(ctx, &pool, result, out),
-                Ticket::Usage => self.usage.store(ctx, result, out),
+                Ticket::Order(pool) => self.orders.store(ctx, &pool, &result, out),
+                Ticket::Usage => self.usage.store(ctx, &result, out),
             },
             Kind::List(Ok(rows)) => {
                 self.members.list(ctx, &rows);
                 self.targets.list(&rows);
             }
             Kind::List(Err(_)) => {}
-            Kind::Load { target, result } => self.targets.load(ctx, &target, result, out),
+            Kind::Load { target, result } => {
+                self.orders.load(ctx, &target, &result);
+                self.targets.load(ctx, &target, result, out);
+            }
             Kind::Changes { target, result } => self.cache.changes(&target, result, out),
-            Kind::Ordered { target, result } => self.orders.ordered(ctx, &target, result, out),
+            Kind::Ordered { target, result } => self.orders.ordered(ctx, &target, &result, out),
             Kind::Drain => self.requests.drain(),
         }
     }
@@ -147,8 +151,12 @@
         self.targets.tick(ctx, out);
         self.with_places(|places, view| places.tick(ctx, view, out));
         self.cache.tick(ctx, &self.targets, self.places.admitted(), out);
-        self.orders.tick(ctx, out);
-        self.usage.tick(ctx, out);
+        self.order(ctx, out);
+        let view = usage::View {
+            vms: 1 + self.members.live().count(),
+            drained: self.requests.is_draining() && self.requests.is_empty(),
+        };
+        self.usage.tick(ctx, view, out);
     }
 
     fn signal(&mut self, ctx: &Context<'_>, signal: Signal, out: &mut Output) {
@@ -176,7 +184,10 @@
                     out.push(Effect::Cancel { address: target.address, id });
                 }
             }
-            Signal::Use(sample) => self.usage.count(&sample),
+            Signal::Use(sample) => {
+                self.orders.count(ctx, &sample);
+                self.usage.count(ctx, &sample);
+            }
             Signal::Sent(_) => {}
         }
     }
@@ -190,6 +201,16 @@
         apply(&mut self.requests, view);
     }
 
+    fn order(&mut self, ctx: &Context<'_>, out: &mut Output) {
+        let view = order::View {
+            targets: &self.targets,
+            members: &self.members,
+            document: self.document.current(),
+            draining: self.requests.is_draining(),
+        };
+        self.orders.tick(ctx, view, out);
+    }
+
     fn with_places(&mut self, apply: impl FnOnce(&mut place::State, place::View<'_>)) {
         let Some(document) = self.document.current() else { return };
         let view = place::View {
--- a/crates/control/tests/all/main.rs
+++ b/crates/control/tests/all/main.rs
@@ -1,3 +1,5 @@
-//! Tests of the control reducer.
+//! Tests of the control reducer's concerns.
 
 mod document;
+mod order;
+mod usage;
