--- a/crates/control/tests/all/main.rs
+++ b/crates/control/tests/all/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the control reducer and its concerns.
 
 mod booking;
+mod document;
 mod member;
 mod member_fleet;
 mod order;
