Cut no pool of today's size, and count what only seems dead

Change: slices of up to 48 targets; held places know their slice by their target, so a new cut moves them; load of targets that only seem dead counts for the mean; reports weigh 0.1 in the estimate of untold places.

--- a/crates/control/src/cache.rs
+++ b/crates/control/src/cache.rs
@@ -37,14 +37,14 @@
     }
 
     /// Reads the events of the engines that this VM admits for, when due.
-    pub fn tick<'a>(
+    pub fn tick(
         &mut self,
         ctx: &Context<'_>,
         targets: &target::State,
-        admitted: impl Iterator<Item = &'a TargetId>,
+        admitted: impl Iterator<Item = TargetId>,
         out: &mut Output,
     ) {
-        for target in admitted.filter_map(|id| targets.get(id)).filter(|row| row.takes_work()) {
+        for target in admitted.filter_map(|id| targets.get(&id)).filter(|row| row.takes_work()) {
             let engine = self.engines.entry(target.id.clone()).or_default();
             if engine.read_at.is_some_and(|at| ctx.at.since(at) < INTERVAL) {
                 continue;
--- a/crates/control/src/place/admit.rs
+++ b/crates/control/src/place/admit.rs
@@ -33,7 +33,7 @@
 /// How long a place unknown to its holder is kept: its grant may be under way.
 const GRANT_AGE: Span = Span::from_secs(1);
 /// Weight of a new report in the estimate of places that nobody told of.
-const UNTOLD_WEIGHT: f64 = 0.25;
+const UNTOLD_WEIGHT: f64 = 0.1;
 /// Reports lag, so that they differ from the count by some requests; only
 /// what is above this counts as untold.
 const UNTOLD_SLACK: f64 = 4.0;
@@ -274,7 +274,7 @@
             return answers;
         };
         let targets = roster.targets(key);
-        let mut board = self.board(at, view, roster, key, pool, targets);
+        let mut board = self.board(at, view, roster, key, pool, &targets);
         // What a silent VM holds may be gone: its places count on their
         // targets, but not for the mean.
         let silent = self.by_vm.iter().filter(|(vm, _)| is_silent(vm));
@@ -332,12 +332,12 @@
     ) -> Board<'a> {
         let vouched = self.queue.iter().filter(|(_, waiting)| waiting.vouched);
         let vouched = vouched.filter_map(|(_, waiting)| Some(&waiting.ask.held_on.as_ref()?.0));
-        let vouched: BTreeSet<_> = vouched.collect();
+        let vouched_ids: BTreeSet<_> = vouched.collect();
         let mut unsure = 0;
         let live = targets.iter().filter_map(|id| {
             let target = view.targets.get(id).filter(|target| target.leaving.is_none())?;
             let open = target.takes_work();
-            if !open && !vouched.contains(id) {
+            if !open && !vouched_ids.contains(id) {
                 return None;
             }
             unsure += u32::from(!open);
@@ -348,6 +348,14 @@
         });
         let seats = live.collect();
         let vouched = unsure;
+        // A target that only seems dead still runs what it was given; a dead
+        // one's requests break off and are released at once.
+        let hidden = targets.iter().filter_map(|id| {
+            let target = view.targets.get(id).filter(|target| target.leaving.is_none())?;
+            let hidden = !target.takes_work() && !vouched_ids.contains(id);
+            hidden.then(|| self.counts.get(id).map_or(0, |count| i64::from(count.load)))
+        });
+        let hidden: i64 = hidden.sum();
         let bound = match &pool.kind {
             Kind::Engine(engine) => {
                 Bound::Mean { factor: engine.load_factor, overnight_share: engine.overnight_share }
@@ -358,7 +366,7 @@
         let transit = self.grants.count(at, GRANT_TRANSIT);
         let rate = self.releases.count(at, RELEASE_WINDOW) as f64 / RELEASE_WINDOW.as_secs_f64();
         let ended = unheard(rate * RELEASE_TRANSIT.as_secs_f64());
-        let other_load = other_load as i64 - transit - ended;
+        let other_load = other_load as i64 + hidden - transit - ended;
         let other_targets = other_targets.saturating_sub(vouched);
         Board { seats, bound, other_load, other_targets }
     }
@@ -369,7 +377,7 @@
     }
 
     fn estimate(&mut self, view: View<'_>, roster: &Roster, key: &Key, weight: f64) {
-        for id in roster.targets(key) {
+        for id in roster.targets(key).iter() {
             let Some(target) = view.targets.get(id) else { continue };
             let Some(report) = &target.report else { continue };
             let untold = self.untold.entry(id.clone()).or_default();
--- a/crates/control/src/place/duty.rs
+++ b/crates/control/src/place/duty.rs
@@ -248,7 +248,7 @@
             return;
         }
         self.duty.told_at = Some(ctx.at);
-        for key in self.entry.slices() {
+        for key in self.entry.slices(&self.roster) {
             let first = self.duty.first(ctx, view, &key).clone();
             if first == ctx.me.vm {
                 continue;
--- a/crates/control/src/place/entry.rs
+++ b/crates/control/src/place/entry.rs
@@ -2,10 +2,10 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use briarshift_units::{Moment, RequestId, Span, TargetId, VmId};
+use briarshift_units::{Moment, PoolId, RequestId, Span, TargetId, VmId};
 use briarshift_wire::place::{Ask, Denial, Held, Message, Peer};
 
-use super::{Key, Request, Verdict, View};
+use super::{Key, Request, Roster, Verdict, View};
 use crate::{Context, Output, Record, Signal, target::Target};
 
 /// An ask that is not answered by then goes to the next VM.
@@ -35,12 +35,18 @@
 
 #[derive(Debug)]
 struct Place {
-    key: Key,
+    pool: PoolId,
     target: TargetId,
     by: VmId,
     overnight: bool,
 }
 
+impl Place {
+    fn key(&self, roster: &Roster) -> Key {
+        Key { pool: self.pool.clone(), slice: roster.slice_of(&self.pool, &self.target) }
+    }
+}
+
 #[derive(Debug)]
 struct Batch {
     since: Moment,
@@ -74,7 +80,7 @@
     }
 
     /// Forgets a request; returns its slice, and the VM that knows of it.
-    pub fn close(&mut self, request: RequestId) -> Option<(Key, VmId)> {
+    pub fn close(&mut self, roster: &Roster, request: RequestId) -> Option<(Key, VmId)> {
         if let Some(asked) = self.asked.remove(&request) {
             return Some((asked.key, asked.to));
         }
@@ -82,7 +88,7 @@
         if let Some(load) = self.load.get_mut(&place.target) {
             *load -= 1;
         }
-        Some((place.key, place.by))
+        Some((place.key(roster), place.by))
     }
 
     /// The request waits in its admitting VM's queue.
@@ -123,13 +129,14 @@
     }
 
     /// Slices in which this VM holds places.
-    pub fn slices(&self) -> BTreeSet<Key> {
-        self.held.values().map(|place| place.key.clone()).collect()
+    pub fn slices(&self, roster: &Roster) -> BTreeSet<Key> {
+        self.held.values().map(|place| place.key(roster)).collect()
     }
 
     /// Places held in one slice.
     pub fn held(&self, key: &Key) -> Vec<Held> {
-        let held = self.held.iter().filter(|(_, place)| place.key == *key);
+        let held = self.held.iter();
+        let held = held.filter(|(_, place)| place.pool == key.pool && key.contains(&place.target));
         let held = held.map(|(request, place)| Held {
             request: *request,
             target: place.target.clone(),
@@ -158,6 +165,7 @@
         if alone {
             self.duty.admit_alone(ctx.at, &asked.key);
         }
+        asked.key.slice = self.roster.slice(view, &asked.ask);
         asked.to = self.duty.first(ctx, view, &asked.key).clone();
         asked.sent_at = ctx.at;
         asked.queued = false;
@@ -250,13 +258,12 @@
         // know better, and a failed connection costs little.
         if view.targets.get(&target).is_none_or(|target| target.leaving.is_some()) {
             out.log(Record::new("grant_refused").with("request", request).with("target", &target));
-            let key = asked.key.clone();
             asked.ask.avoid.push(target);
             asked.hops += 1;
             let hopeless = MAX_HOPS < asked.hops;
             self.entry.asked.insert(request, asked);
             if *from == ctx.me.vm {
-                self.release_here(ctx, view, &key, &[request], out);
+                self.released(ctx, view, &[request], out);
             } else {
                 self.entry.release_later(ctx.at, from, request);
             }
@@ -269,7 +276,8 @@
         }
         *self.entry.load.entry(target.clone()).or_default() += 1;
         let overnight = asked.ask.overnight;
-        let place = Place { key: asked.key, target: target.clone(), by: from.clone(), overnight };
+        let (pool, target_id, by) = (asked.ask.pool, target.clone(), from.clone());
+        let place = Place { pool, target: target_id, by, overnight };
         self.entry.held.insert(request, place);
         out.signal(Signal::Placed(Verdict { request, place: Ok(target) }));
     }
--- a/crates/control/src/place/mod.rs
+++ b/crates/control/src/place/mod.rs
@@ -92,11 +92,11 @@
         out: &mut Output,
     ) {
         self.wake(ctx, view, out);
-        let Some((key, by)) = self.entry.close(request) else { return };
+        let Some((key, by)) = self.entry.close(&self.roster, request) else { return };
         let first = self.duty.first(ctx, view, &key).clone();
         for vm in [Some(&by), Some(&first).filter(|first| **first != by)].into_iter().flatten() {
             if *vm == ctx.me.vm {
-                self.release_here(ctx, view, &key, &[request], out);
+                self.released(ctx, view, &[request], out);
             } else {
                 self.entry.release_later(ctx.at, vm, request);
             }
@@ -170,9 +170,9 @@
     }
 
     /// Targets of the slices that this VM admits for.
-    pub fn admitted(&self) -> impl Iterator<Item = &TargetId> {
+    pub fn admitted(&self) -> impl Iterator<Item = TargetId> {
         let slices = self.slices.iter().filter(|(_, slice)| *slice.phase() == Phase::Admitting);
-        slices.flat_map(|(key, _)| self.roster.targets(key))
+        slices.flat_map(|(key, _)| self.roster.targets(key).into_owned())
     }
 
     /// Looks at the roster again, and claims anew after a pause.
@@ -307,22 +307,11 @@
         }
         let keys: Vec<_> = self.slices.keys().cloned().collect();
         for key in keys {
-            self.release_here(ctx, view, &key, requests, out);
-        }
-    }
-
-    fn release_here(
-        &mut self,
-        ctx: &Context<'_>,
-        view: View<'_>,
-        key: &Key,
-        requests: &[RequestId],
-        out: &mut Output,
-    ) {
-        let Some(slice) = self.slices.get_mut(key) else { return };
-        for &request in requests {
-            slice.release(ctx.at, request);
+            let Some(slice) = self.slices.get_mut(&key) else { continue };
+            for &request in requests {
+                slice.release(ctx.at, request);
+            }
+            self.serve(ctx, view, &key, out);
         }
-        self.serve(ctx, view, key, out);
     }
 }
--- a/crates/control/src/place/roster.rs
+++ b/crates/control/src/place/roster.rs
@@ -5,6 +5,7 @@
 //! into a power of two of parts, so that a target that joins or leaves moves
 //! no other from one slice to another until the pool has doubled.
 
+use std::borrow::Cow;
 use std::collections::BTreeMap;
 
 use briarshift_routing::rank;
@@ -15,7 +16,7 @@
 use crate::target::Target;
 
 /// Most targets of a slice, on average.
-const SLICE_MAX: usize = 24;
+const SLICE_MAX: usize = 48;
 /// Time between two looks at the list of targets.
 const INTERVAL: Span = Span::from_millis(100);
 /// How long a listed target that takes no work yet, or no more, still counts
@@ -35,6 +36,17 @@
 }
 
 impl Key {
+    /// Into how many slices the pool is cut, by the slice's number.
+    fn parts(&self) -> usize {
+        1 << self.slice.0.max(1).ilog2()
+    }
+
+    /// Whether a target of the pool belongs to this slice.
+    pub fn contains(&self, target: &TargetId) -> bool {
+        let parts = self.parts();
+        parts + index(target, parts) == self.slice.0 as usize
+    }
+
     /// The VM among `vms` that admits for this slice.
     pub fn first<'a>(&self, vms: impl Iterator<Item = &'a VmId>) -> Option<&'a VmId> {
         let hash = rank::score(ChatKey(u64::from(self.slice.0)), self.pool.as_str());
@@ -114,13 +126,24 @@
         let open = |id: &&TargetId| takes_work(id) && !ask.avoid.contains(id);
         let best = || rank::best(ask.chat, ids().filter(open), |id| id.as_str());
         let Some(id) = held.or_else(best) else { return Slice(pool.parts.len() as u32) };
-        let count = pool.parts.len();
-        Slice((count + index(id, count)) as u32)
+        self.slice_of(&ask.pool, id)
     }
 
-    /// Targets of a slice, live or not.
-    pub fn targets(&self, key: &Key) -> &[TargetId] {
-        self.part(key).map_or(&[], |(_, part)| &part.targets)
+    /// The slice of a target, as the pool is cut now.
+    pub fn slice_of(&self, pool: &PoolId, target: &TargetId) -> Slice {
+        let parts = self.parts(pool);
+        Slice((parts + index(target, parts)) as u32)
+    }
+
+    /// Targets of a slice, live or not. A VM that sees the pool cut otherwise
+    /// may ask for a slice that is none here.
+    pub fn targets(&self, key: &Key) -> Cow<'_, [TargetId]> {
+        if let Some((_, part)) = self.part(key) {
+            return Cow::Borrowed(&part.targets);
+        }
+        let parts = self.pools.get(&key.pool).into_iter().flat_map(|pool| &pool.parts);
+        let targets = parts.flat_map(|part| &part.targets);
+        Cow::Owned(targets.filter(|target| key.contains(target)).cloned().collect())
     }
 
     /// Reported load of the pool's other slices, and the targets that count
