--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use briarshift_units::Moment;
 use briarshift_wire::Message;
 
 use crate::status::{self, Counts, Status};
@@ -95,13 +96,24 @@
                 self.signal(&ctx, signal, &mut out);
             }
         }
-        if self.requests.is_draining() && self.requests.is_empty() && !self.drained {
+        if self.requests.is_draining() && self.is_settled(ctx.at) && !self.drained {
             self.drained = true;
             out.push(Effect::Drained);
         }
+        document::fill(self.document.in_force(), &mut out.effects);
         out.effects
     }
 
+    /// Whether no request and no booking's outcome is under way.
+    fn is_idle(&self) -> bool {
+        self.requests.is_empty() && self.bookings.unsettled() == 0
+    }
+
+    /// Whether nothing that must last is still to be written either.
+    fn is_settled(&self, at: Moment) -> bool {
+        self.is_idle() && self.usage.is_settled(at)
+    }
+
     fn dispatch(&mut self, ctx: &Context<'_>, kind: Kind, out: &mut Output) {
         match kind {
             Kind::Tick => self.tick(ctx, out),
@@ -109,39 +121,57 @@
                 requests.apply(ctx, view, event, out);
             }),
             Kind::Peer { from, message } => match message {
-                Message::Gossip(message) => self.members.gossip(ctx, &from, &message, out),
+                Message::Gossip(message) => {
+                    self.members.gossip(ctx, &from, &message, out);
+                    self.document.head(ctx, &self.members, &from, message.document, out);
+                }
                 Message::Place(message) => self.with_places(|places, view| {
                     places.peer(ctx, view, &from, message, out);
                 }),
-                Message::Document(_) => {}
-                Message::Poison(message) => self.poison.peer(ctx, &from, message, out),
+                Message::Document(message) => {
+                    self.document.peer(ctx, &self.members, &from, message, out);
+                }
+                Message::Poison(message) => self.with_poison(|poison, view| {
+                    poison.peer(ctx, view, &from, message, out);
+                }),
             },
             Kind::Store { ticket, result } => match ticket {
                 Ticket::Document => self.document.store(ctx, result, out),
+                Ticket::Report => self.document.reported(&result),
                 Ticket::Booking(claim) => self.bookings.store(ctx, claim, result, out),
-                Ticket::Order(pool) => self.orders.store(ctx, &pool, result, out),
-                Ticket::Usage => self.usage.store(ctx, result, out),
+                Ticket::Order(pool) => self.orders.store(ctx, &pool, &result, out),
+                Ticket::Usage => self.usage.store(ctx, &result, out),
             },
             Kind::List(Ok(rows)) => {
                 self.members.list(ctx, &rows);
                 self.targets.list(&rows);
             }
             Kind::List(Err(_)) => {}
-            Kind::Load { target, result } => self.targets.load(ctx, &target, result, out),
+            Kind::Load { target, result } => {
+                self.orders.load(ctx, &target, &result);
+                self.targets.load(ctx, &target, result, out);
+            }
             Kind::Changes { target, result } => self.cache.changes(&target, result, out),
-            Kind::Ordered { target, result } => self.orders.ordered(ctx, &target, result, out),
+            Kind::Ordered { target, result } => self.orders.ordered(ctx, &target, &result, out),
             Kind::Drain => self.requests.drain(),
         }
     }
 
     fn tick(&mut self, ctx: &Context<'_>, out: &mut Output) {
-        self.document.tick(ctx, out);
+        self.document.tick(ctx, &self.members, out);
         self.members.tick(ctx, out);
         self.targets.tick(ctx, out);
         self.with_places(|places, view| places.tick(ctx, view, out));
+        self.with_requests(|requests, view| requests.tick(ctx, view, out));
+        self.bookings.tick(ctx, out);
+        self.with_poison(|poison, view| poison.tick(ctx, view, out));
         self.cache.tick(ctx, &self.targets, self.places.admitted(), out);
-        self.orders.tick(ctx, out);
-        self.usage.tick(ctx, out);
+        self.order(ctx, out);
+        let view = usage::View {
+            vms: 1 + self.members.live().count(),
+            drained: self.requests.is_draining() && self.is_idle(),
+        };
+        self.usage.tick(ctx, view, out);
     }
 
     fn signal(&mut self, ctx: &Context<'_>, signal: Signal, out: &mut Output) {
@@ -158,18 +188,32 @@
                 requests.claimed(ctx, view, verdict, out);
             }),
             Signal::Settle(id, outcome) => self.bookings.settle(ctx, id, outcome, out),
-            Signal::Unclaim(id) => self.bookings.unclaim(id, out),
+            Signal::Look(booking) => self.bookings.look(ctx, booking, out),
+            Signal::Unclaim(id) => self.bookings.unclaim(ctx, id, out),
             Signal::Suspect(target) => self.targets.suspect(&target),
-            Signal::Strike(fingerprint, target) => {
-                self.poison.strike(ctx, fingerprint, &target, out);
-            }
-            Signal::Clear(fingerprint) => self.poison.clear(ctx, fingerprint, out),
+            Signal::Strike(fingerprint, target) => self.with_poison(|poison, view| {
+                poison.strike(ctx, view, fingerprint, &target, out);
+            }),
+            Signal::Clear(fingerprint) => self.with_poison(|poison, view| {
+                poison.clear(view, fingerprint, out);
+            }),
+            Signal::Struck(fingerprint) => self.requests.struck(fingerprint, out),
+            Signal::Try(trial) => self.with_poison(|poison, view| {
+                poison.attempt(ctx, view, trial, out);
+            }),
+            Signal::Tried(verdict) => self.with_requests(|requests, view| {
+                requests.tried(view, verdict, out);
+            }),
+            Signal::Over(id) => self.with_poison(|poison, view| poison.over(ctx, view, id, out)),
             Signal::Cancel(target, id) => {
                 if let Some(target) = self.targets.get(&target) {
                     out.push(Effect::Cancel { address: target.address, id });
                 }
             }
-            Signal::Use(sample) => self.usage.count(&sample),
+            Signal::Use(sample) => {
+                self.orders.count(ctx, &sample);
+                self.usage.count(ctx, &sample);
+            }
             Signal::Sent(_) => {}
         }
     }
@@ -183,6 +227,21 @@
         apply(&mut self.requests, view);
     }
 
+    fn order(&mut self, ctx: &Context<'_>, out: &mut Output) {
+        let view = order::View {
+            targets: &self.targets,
+            members: &self.members,
+            document: self.document.current(),
+            draining: self.requests.is_draining(),
+        };
+        self.orders.tick(ctx, view, out);
+    }
+
+    fn with_poison(&mut self, apply: impl FnOnce(&mut poison::State, poison::View<'_>)) {
+        let view = poison::View { targets: &self.targets, members: &self.members };
+        apply(&mut self.poison, view);
+    }
+
     fn with_places(&mut self, apply: impl FnOnce(&mut place::State, place::View<'_>)) {
         let Some(document) = self.document.current() else { return };
         let view = place::View {
--- /dev/null
+++ b/crates/control/tests/all/main.rs
@@ -0,0 +1,9 @@
+//! Tests of the control reducer and its concerns.
+
+mod booking;
+mod order;
+mod poison;
+mod request;
+mod retry;
+mod usage;
+mod world;
