Split the bill with the records behind it, and check them

Cause: each owner must see its own use and the other's, so that the split can be disputed on evidence.

`briarshift usage` splits units by a tariff of whole numbers and names the records behind every line, as text, CSV or JSON; `--check` recomputes the split and names records that were altered, misplaced, deleted or put back.

Segments are now bounded by bytes, not by rows: 3,000 rows with the longest ids would not have fitted a mebibyte, and the store would have refused them for good.

tests/all/usage.rs compares the bill of two VM processes with the engine's and the runner's own logs: equal in tokens, cached tokens and bookings.

--- a/crates/control/src/usage/state.rs
+++ b/crates/control/src/usage/state.rs
@@ -21,8 +21,10 @@
 const INTERVAL_PER_VM: Span = Span::from_millis(250);
 /// Pause after a failed write.
 const RETRY_PAUSE: Span = Span::from_secs(2);
-/// Most rows of a segment, so that its value stays under a mebibyte.
-const MAX_ROWS: usize = 3_000;
+/// Most bytes of a segment's rows: a value may have a mebibyte.
+const MAX_BYTES: usize = 1_000_000;
+/// Most bytes of a row as JSON, its ids apart.
+const ROW_BYTES: usize = 340;
 /// How long a drained VM waits for its last write.
 const DRAIN_WAIT: Span = Span::from_secs(5);
 
@@ -55,6 +57,7 @@
     place: Place,
     previous: Code,
     rows: BTreeMap<Subject, Counters>,
+    bytes: usize,
     sequence: u64,
     /// Store version of its newest record.
     version: Version,
@@ -64,6 +67,13 @@
     last: Option<Written>,
 }
 
+/// Most bytes that a subject's row takes.
+fn bytes(subject: &Subject) -> usize {
+    let ids = [subject.owner.as_str(), subject.account.as_str(), subject.pool.as_str()];
+    let ids = ids.into_iter().chain(subject.model.as_deref());
+    ROW_BYTES + ids.map(str::len).sum::<usize>()
+}
+
 impl Segment {
     fn record(&mut self, wall: WallTime, closed: bool, key: &[u8]) -> Written {
         self.sequence += 1;
@@ -126,17 +136,22 @@
             pool: sample.pool.clone(),
             model: sample.model.clone(),
         };
-        let full = |segment: &Segment| {
-            MAX_ROWS <= segment.rows.len() && !segment.rows.contains_key(&subject)
+        let bytes = bytes(&subject);
+        let full = |segment: &mut Segment| {
+            MAX_BYTES < segment.bytes + bytes && !segment.rows.contains_key(&subject)
         };
-        if self.open().is_some_and(|segment| full(segment)) {
+        if self.open().is_some_and(full) {
             self.close_segment(ctx);
         }
         if self.open().is_none() {
             self.open_segment(ctx);
         }
         let Some(segment) = self.open() else { return };
-        *segment.rows.entry(subject).or_default() += Counters::of(sample);
+        let counters = segment.rows.entry(subject).or_insert_with(|| {
+            segment.bytes += bytes;
+            Counters::default()
+        });
+        *counters += Counters::of(sample);
         segment.dirty = true;
     }
 
@@ -240,6 +255,7 @@
             place,
             previous: self.last_code,
             rows: BTreeMap::new(),
+            bytes: 0,
             sequence: 0,
             version: Version(0),
             dirty: false,
--- a/crates/control/tests/all/usage/writer.rs
+++ b/crates/control/tests/all/usage/writer.rs
@@ -99,22 +99,31 @@
     assert_eq!(interval(12), Span::from_secs(10));
 }
 
-#[test]
-fn many_accounts_spread_over_segments() {
+/// Counts many accounts with ids of some length and the largest counts.
+fn check_size(length: usize, segments: usize) {
     let mut vm = Vm::new();
     for number in 0..7_000 {
         let mut sample = sample(number);
-        sample.account = format!("account-{number}").parse().unwrap();
+        sample.account = format!("{number:0length$}").parse().unwrap();
+        sample.tokens.prompt = u64::MAX / 8_000;
+        sample.tokens.cached = u64::MAX / 8_000;
+        sample.queued = Span(u64::MAX / 8_000);
         vm.count(&sample);
     }
     vm.drain();
     let entries = vm.entries();
-    assert_eq!(entries.len(), 3);
+    assert_eq!(entries.len(), segments);
     assert!(entries.iter().all(|entry| entry.value.len() < 1 << 20));
     let start = vm.start();
     assert_eq!(check(&mut vm, start), vm.counted);
 }
 
+#[test]
+fn many_accounts_spread_over_segments() {
+    check_size(8, 3);
+    check_size(128, 4);
+}
+
 #[test]
 fn a_late_write_does_not_put_counts_back() {
     let mut vm = Vm::new();
--- a/src/bin/briarshift.rs
+++ b/src/bin/briarshift.rs
@@ -4,7 +4,7 @@
 use std::process::ExitCode;
 
 use actix_rt::System;
-use briarshift::commands::{demo, drain, keys, serve, status};
+use briarshift::commands::{demo, drain, keys, serve, status, usage};
 use gumdrop::Options;
 
 /// Command line.
@@ -26,6 +26,8 @@
     Status(status::Options),
     /// tell a VM to take no new requests
     Drain(drain::Options),
+    /// show each owner's share of the bill, or check the records behind it
+    Usage(usage::Options),
     /// make a development authority and certificates for VMs
     Keys(keys::Options),
 }
@@ -58,6 +60,7 @@
         Command::Demo(options) => System::new().block_on(demo::run(options)),
         Command::Status(options) => System::new().block_on(status::run(options)),
         Command::Drain(options) => System::new().block_on(drain::run(options)),
+        Command::Usage(options) => System::new().block_on(usage::run(options)),
         Command::Keys(options) => keys::run(options),
     }
 }
--- a/src/commands/mod.rs
+++ b/src/commands/mod.rs
@@ -5,6 +5,7 @@
 pub mod keys;
 pub mod serve;
 pub mod status;
+pub mod usage;
 
 use std::net::SocketAddr;
 use std::time::Duration;
--- a/tests/all/fleet.rs
+++ b/tests/all/fleet.rs
@@ -2,6 +2,7 @@
 
 use std::io::{BufRead, BufReader};
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::time::Duration;
 
@@ -151,6 +152,11 @@
         logs.map(|log| log.bookings.get(booking).copied().unwrap_or(0)).sum()
     }
 
+    /// The settings file of a VM.
+    pub fn settings(&self, vm: usize) -> PathBuf {
+        self.directory.path().join(format!("{}.json", self.vms[vm].name))
+    }
+
     /// Runs on all targets.
     pub fn total_runs(&self) -> usize {
         let engines = self.engines.iter().map(|engine| engine.log().runs.len());
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -5,3 +5,4 @@
 mod path;
 mod refusal;
 mod shutdown;
+mod usage;
