--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use briarshift_units::Moment;
 use briarshift_wire::Message;
 
 use crate::status::{self, Counts, Status};
@@ -95,8 +96,7 @@
                 self.signal(&ctx, signal, &mut out);
             }
         }
-        let drained = self.requests.is_draining() && self.requests.is_empty();
-        if drained && self.usage.is_settled(ctx.at) && !self.drained {
+        if self.requests.is_draining() && self.is_settled(ctx.at) && !self.drained {
             self.drained = true;
             out.push(Effect::Drained);
         }
@@ -104,6 +104,16 @@
         out.effects
     }
 
+    /// Whether no request and no booking's outcome is under way.
+    fn is_idle(&self) -> bool {
+        self.requests.is_empty() && self.bookings.unsettled() == 0
+    }
+
+    /// Whether nothing that must last is still to be written either.
+    fn is_settled(&self, at: Moment) -> bool {
+        self.is_idle() && self.usage.is_settled(at)
+    }
+
     fn dispatch(&mut self, ctx: &Context<'_>, kind: Kind, out: &mut Output) {
         match kind {
             Kind::Tick => self.tick(ctx, out),
@@ -121,7 +131,9 @@
                 Message::Document(message) => {
                     self.document.peer(ctx, &self.members, &from, message, out);
                 }
-                Message::Poison(message) => self.poison.peer(ctx, &from, message, out),
+                Message::Poison(message) => self.with_poison(|poison, view| {
+                    poison.peer(ctx, view, &from, message, out);
+                }),
             },
             Kind::Store { ticket, result } => match ticket {
                 Ticket::Document => self.document.store(ctx, result, out),
@@ -150,11 +162,14 @@
         self.members.tick(ctx, out);
         self.targets.tick(ctx, out);
         self.with_places(|places, view| places.tick(ctx, view, out));
+        self.with_requests(|requests, view| requests.tick(ctx, view, out));
+        self.bookings.tick(ctx, out);
+        self.with_poison(|poison, view| poison.tick(ctx, view, out));
         self.cache.tick(ctx, &self.targets, self.places.admitted(), out);
         self.order(ctx, out);
         let view = usage::View {
             vms: 1 + self.members.live().count(),
-            drained: self.requests.is_draining() && self.requests.is_empty(),
+            drained: self.requests.is_draining() && self.is_idle(),
         };
         self.usage.tick(ctx, view, out);
     }
@@ -173,12 +188,23 @@
                 requests.claimed(ctx, view, verdict, out);
             }),
             Signal::Settle(id, outcome) => self.bookings.settle(ctx, id, outcome, out),
-            Signal::Unclaim(id) => self.bookings.unclaim(id, out),
+            Signal::Look(booking) => self.bookings.look(ctx, booking, out),
+            Signal::Unclaim(id) => self.bookings.unclaim(ctx, id, out),
             Signal::Suspect(target) => self.targets.suspect(&target),
-            Signal::Strike(fingerprint, target) => {
-                self.poison.strike(ctx, fingerprint, &target, out);
-            }
-            Signal::Clear(fingerprint) => self.poison.clear(ctx, fingerprint, out),
+            Signal::Strike(fingerprint, target) => self.with_poison(|poison, view| {
+                poison.strike(ctx, view, fingerprint, &target, out);
+            }),
+            Signal::Clear(fingerprint) => self.with_poison(|poison, view| {
+                poison.clear(view, fingerprint, out);
+            }),
+            Signal::Struck(fingerprint) => self.requests.struck(fingerprint, out),
+            Signal::Try(trial) => self.with_poison(|poison, view| {
+                poison.attempt(ctx, view, trial, out);
+            }),
+            Signal::Tried(verdict) => self.with_requests(|requests, view| {
+                requests.tried(view, verdict, out);
+            }),
+            Signal::Over(id) => self.with_poison(|poison, view| poison.over(ctx, view, id, out)),
             Signal::Cancel(target, id) => {
                 if let Some(target) = self.targets.get(&target) {
                     out.push(Effect::Cancel { address: target.address, id });
@@ -211,6 +237,11 @@
         self.orders.tick(ctx, view, out);
     }
 
+    fn with_poison(&mut self, apply: impl FnOnce(&mut poison::State, poison::View<'_>)) {
+        let view = poison::View { targets: &self.targets, members: &self.members };
+        apply(&mut self.poison, view);
+    }
+
     fn with_places(&mut self, apply: impl FnOnce(&mut place::State, place::View<'_>)) {
         let Some(document) = self.document.current() else { return };
         let view = place::View {
