Count refusals and returning chats

A request that is given up gives a sample too, and a chat's sample says whether it came back and ran on the engine that its token names. `briarshift usage` shows both. The process test now has a returning chat and a refusal, and finds one of each in the bill.

Border change: request::life makes the sample, request::{state,ending} send it. Rows grew, so a segment's bound in bytes allows for 420 a row; the number of segments that many_accounts_spread_over_segments expects follows (4 and 4).

--- a/crates/control/src/request/ending.rs
+++ b/crates/control/src/request/ending.rs
@@ -6,7 +6,7 @@
 use super::life::{Flavour, Request};
 use super::state::{State, View, release, want_trial};
 use super::{Decision, End, Reason, Resume, Tokens};
-use crate::{Context, Effect, Output, Record, Signal, booking, usage};
+use crate::{Context, Effect, Output, Record, Signal, booking};
 
 /// Attempts at one request, the first included.
 const MAX_ATTEMPTS: u32 = 3;
@@ -106,29 +106,17 @@
         // Cleared first: the end of its trial tells what is known of it.
         let Some(request) = self.requests.get(&id) else { return };
         out.signal(Signal::Clear(request.fingerprint));
+        let queued = request.placed.unwrap_or(ctx.at).since(request.arrived);
+        let mut sample = request.sample(queued, tokens);
         let Some(request) = self.leave(id, out) else { return };
-        let booked = outcome.is_some();
+        sample.booked = outcome.is_some();
         if let Some(outcome) = outcome {
             out.signal(Signal::Settle(id, outcome));
         }
-        let model = match request.flavour {
-            Flavour::Chat { model, .. } => Some(model),
-            _ => None,
-        };
-        let queued = request.placed.unwrap_or(ctx.at).since(request.arrived);
         let line = Record::new("answered").with("request", id).with("account", &request.account);
         let line = line.with("attempt", request.attempt).with("queued", queued);
         out.log(line.with("detached", request.detached));
-        out.signal(Signal::Use(usage::Sample {
-            owner: request.owner,
-            account: request.account,
-            pool: request.pool,
-            model,
-            tokens,
-            queued,
-            booked,
-            refused: false,
-        }));
+        out.signal(Signal::Use(sample));
     }
 
     /// Resumes a broken chat stream where it runs. Without any event there is
--- a/crates/control/src/request/life.rs
+++ b/crates/control/src/request/life.rs
@@ -9,8 +9,8 @@
 use briarshift_wire::poison::Trial;
 use smol_str::SmolStr;
 
-use super::Reason;
-use crate::booking;
+use super::{Reason, Tokens};
+use crate::{booking, usage};
 
 /// What may be done with a request.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -109,6 +109,31 @@
         }
     }
 
+    /// What it used, as it is answered or refused. To be asked before it gives
+    /// its place back.
+    pub(super) fn sample(&self, queued: Span, tokens: Tokens) -> usage::Sample {
+        let (model, held_on) = match &self.flavour {
+            Flavour::Chat { model, held_on, .. } => (Some(model.clone()), held_on.as_ref()),
+            _ => (None, None),
+        };
+        let came_back = match held_on {
+            None => usage::Return::Not,
+            Some((target, _)) if self.target.as_ref() == Some(target) => usage::Return::Held,
+            Some(_) => usage::Return::Elsewhere,
+        };
+        usage::Sample {
+            owner: self.owner.clone(),
+            account: self.account.clone(),
+            pool: self.pool.clone(),
+            model,
+            tokens,
+            queued,
+            booked: false,
+            refused: false,
+            came_back,
+        }
+    }
+
     pub(super) fn trial(&self, running: Option<TargetId>) -> Trial {
         let (pool, fingerprint) = (self.pool.clone(), self.fingerprint);
         Trial { request: self.id, fingerprint, pool, running }
--- a/crates/control/src/request/state.rs
+++ b/crates/control/src/request/state.rs
@@ -10,8 +10,9 @@
 
 use super::life::{Flavour, Request, Suspicion};
 use super::resolve::{authenticate, fingerprint, resolve};
-use super::{Arrival, Decision, Event, Outcome, Reason, Refusal, Send};
+use super::{Arrival, Decision, Event, Outcome, Reason, Refusal, Send, Tokens};
 use crate::poison::Standing;
+use crate::usage::Return;
 use crate::{Context, Effect, Output, Record, Signal, booking, place, poison, target};
 
 /// `Retry-After` of refusals that pass soon.
@@ -322,6 +323,10 @@
             out.signal(Signal::Unclaim(id));
         }
         let outcome = if request.may_have_run { Outcome::Unknown } else { Outcome::NotRun };
+        let mut sample = request.sample(Span::ZERO, Tokens::default());
+        sample.refused = true;
+        sample.came_back = Return::Not;
+        out.signal(Signal::Use(sample));
         refuse(id, reason, outcome, out);
     }
 
--- a/crates/control/src/usage/counters.rs
+++ b/crates/control/src/usage/counters.rs
@@ -8,6 +8,18 @@
 
 use crate::request::Tokens;
 
+/// Whether a chat came back, and where it ran.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum Return {
+    /// It is new, or no chat.
+    #[default]
+    Not,
+    /// It ran on another engine than the one that its token names.
+    Elsewhere,
+    /// It ran on the engine that its token names.
+    Held,
+}
+
 /// What one ended request used.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Sample {
@@ -27,6 +39,8 @@
     pub booked: bool,
     /// Whether it was refused.
     pub refused: bool,
+    /// Whether it is a chat that came back.
+    pub came_back: Return,
 }
 
 /// Whose use a row counts, and of what.
@@ -58,8 +72,12 @@
     pub completion_tokens: u64,
     /// Bookings that ran.
     pub bookings: u64,
-    /// Time waited for places.
+    /// Time that requests answered waited for places.
     pub queued_us: u64,
+    /// Chats answered that had come back.
+    pub returns: u64,
+    /// Of these, chats that ran on the engine that their token names.
+    pub returns_held: u64,
 }
 
 impl Counters {
@@ -80,6 +98,7 @@
     ///     queued: Span::ZERO,
     ///     booked: true,
     ///     refused: false,
+    ///     came_back: Default::default(),
     /// };
     /// assert_eq!(Counters::of(&sample).bookings, 1);
     /// ```
@@ -92,6 +111,8 @@
             completion_tokens: sample.tokens.completion,
             bookings: u64::from(sample.booked),
             queued_us: sample.queued.0,
+            returns: u64::from(sample.came_back != Return::Not),
+            returns_held: u64::from(sample.came_back == Return::Held),
         }
     }
 }
@@ -106,6 +127,8 @@
         add(&mut self.completion_tokens, other.completion_tokens);
         add(&mut self.bookings, other.bookings);
         add(&mut self.queued_us, other.queued_us);
+        add(&mut self.returns, other.returns);
+        add(&mut self.returns_held, other.returns_held);
     }
 }
 
--- a/crates/control/src/usage/mod.rs
+++ b/crates/control/src/usage/mod.rs
@@ -26,5 +26,5 @@
 
 mod state;
 
-pub use counters::{Counters, Sample};
+pub use counters::{Counters, Return, Sample};
 pub use state::{State, View, interval};
--- a/crates/control/src/usage/state.rs
+++ b/crates/control/src/usage/state.rs
@@ -24,7 +24,7 @@
 /// Most bytes of a segment's rows: a value may have a mebibyte.
 const MAX_BYTES: usize = 1_000_000;
 /// Most bytes of a row as JSON, its ids apart.
-const ROW_BYTES: usize = 340;
+const ROW_BYTES: usize = 420;
 /// How long a drained VM waits for its last write.
 const DRAIN_WAIT: Span = Span::from_secs(5);
 
--- a/crates/control/tests/all/order/fleet.rs
+++ b/crates/control/tests/all/order/fleet.rs
@@ -184,6 +184,7 @@
             queued: Span::ZERO,
             booked: false,
             refused: false,
+            came_back: Default::default(),
         };
         for vm in &mut self.vms {
             let ctx = Context { at: self.now, wall: WallTime(0), entropy: 0, me: &vm.me };
--- a/crates/control/tests/all/usage/mod.rs
+++ b/crates/control/tests/all/usage/mod.rs
@@ -5,7 +5,7 @@
 mod writer;
 
 use briarshift_control::request::Tokens;
-use briarshift_control::usage::Sample;
+use briarshift_control::usage::{Return, Sample};
 use briarshift_units::Span;
 
 /// A chat of one of two owners, three accounts and two models.
@@ -20,5 +20,6 @@
         queued: Span(number),
         booked: number.is_multiple_of(7),
         refused: number.is_multiple_of(11),
+        came_back: if number.is_multiple_of(3) { Return::Held } else { Return::Not },
     }
 }
--- a/crates/control/tests/all/usage/writer.rs
+++ b/crates/control/tests/all/usage/writer.rs
@@ -120,7 +120,7 @@
 
 #[test]
 fn many_accounts_spread_over_segments() {
-    check_size(8, 3);
+    check_size(8, 4);
     check_size(128, 4);
 }
 
--- a/src/commands/usage.rs
+++ b/src/commands/usage.rs
@@ -149,15 +149,17 @@
     let percent = 100.0 * bill.fraction(share);
     let Counters { prompt_tokens, cached_tokens, requests, refusals, queued_us, .. } =
         share.counters;
+    let Counters { returns, returns_held, .. } = share.counters;
     let part = |part: u64, whole: u64| {
         if whole == 0 { 0.0 } else { 100.0 * part as f64 / whole as f64 }
     };
     let reuse = part(cached_tokens, prompt_tokens);
+    let held = part(returns_held, returns);
     let refused = part(refusals, requests + refusals);
     let queued = queued_us as f64 / MICROS_PER_MILLI / requests.max(1) as f64;
     format!(
-        "owner {} share {percent:.4}% units {} of {} reuse {reuse:.1}% refused {refused:.2}% \
-         queued {queued:.1} ms a request",
+        "owner {} share {percent:.4}% units {} of {} reuse {reuse:.1}% returns {returns} \
+         held {held:.1}% refused {refused:.2}% queued {queued:.1} ms a request",
         share.owner, share.units, bill.units
     )
 }
@@ -210,6 +212,8 @@
         "completion_tokens",
         "bookings",
         "queued_us",
+        "returns",
+        "returns_held",
         "records",
     ])?;
     for line in &bill.lines {
@@ -228,6 +232,8 @@
             counters.completion_tokens.to_string(),
             counters.bookings.to_string(),
             counters.queued_us.to_string(),
+            counters.returns.to_string(),
+            counters.returns_held.to_string(),
             records.join(" "),
         ])?;
     }
--- a/tests/all/usage.rs
+++ b/tests/all/usage.rs
@@ -4,6 +4,8 @@
 
 use briarshift::commands::usage::{Options, report};
 use briarshift_platform::{Expect, Key, Operation, Reply};
+use briarshift_standin::Fault;
+use briarshift_standin::engine::FaultKind;
 use briarshift_standin::run::Run;
 use serde_json::Value;
 
@@ -16,6 +18,11 @@
         let text = message(&format!("draft the rota of week {number}"));
         fleet.chat(number % 2, &text, None, number < 3).await;
     }
+    let text = message("and the week after");
+    let first = fleet.chat(0, &text, None, false).await;
+    fleet.chat(1, &text, first.token.as_deref(), false).await;
+    fleet.engines[0].fault(Fault::times(FaultKind::Refuse { retry_after_s: 1 }, 1));
+    fleet.chat(0, &text, None, false).await;
     for vm in [0, 1, 0] {
         caller().book(fleet.vms[vm].callers, "pickup-1").await.unwrap();
     }
@@ -47,7 +54,9 @@
     };
     let runs = fleet.engines[0].log().runs;
     let counted = |count: fn(&Run) -> u64| runs.iter().map(count).sum::<u64>();
-    assert_eq!(runs.len(), 6);
+    assert_eq!(runs.len(), 8);
+    assert_eq!(billed("refusals"), 1);
+    assert_eq!((billed("returns"), billed("returns_held")), (1, 1));
     assert_eq!(billed("prompt_tokens"), counted(|run| run.prompt_tokens));
     assert_eq!(billed("cached_tokens"), counted(|run| run.cached_tokens));
     assert_eq!(billed("completion_tokens"), counted(|run| run.completion_tokens));
