Test the stand-ins as processes

A runner that meets a request that crashes it exits with code 70, and each stand-in prints where it listens. No change of code: both held at once.

--- a/crates/standin/tests/all/main.rs
+++ b/crates/standin/tests/all/main.rs
@@ -3,6 +3,7 @@
 mod engine;
 mod memory;
 mod platform;
+mod process;
 mod runner;
 
 use std::future::Future;
