--- a/crates/control/src/place/admit.rs
+++ b/crates/control/src/place/admit.rs
@@ -34,7 +34,7 @@
 /// How long a place unknown to its holder is kept: its grant may be under way.
 const GRANT_AGE: Span = Span::from_secs(1);
 /// Weight of a new report in the estimate of places that nobody told of.
-const UNTOLD_WEIGHT: f64 = 0.25;
+const UNTOLD_WEIGHT: f64 = 0.1;
 /// Reports lag, so that they differ from the count by some requests; only
 /// what is above this counts as untold.
 const UNTOLD_SLACK: f64 = 4.0;
@@ -62,6 +62,8 @@
     pub vm: VmId,
     /// What it asks for.
     pub ask: Ask,
+    /// That VM believes that the target holding the context takes work.
+    pub vouched: bool,
     /// Since when the request waits.
     pub since: Moment,
 }
@@ -123,6 +125,7 @@
     places: BTreeMap<RequestId, Place>,
     counts: BTreeMap<TargetId, Count>,
     copies: Copies,
+    by_vm: BTreeMap<VmId, u32>,
     untold: BTreeMap<TargetId, Untold>,
     queue: Queue<Waiting>,
     grants: Recent,
@@ -136,6 +139,7 @@
             places: BTreeMap::new(),
             counts: BTreeMap::new(),
             copies: Copies::default(),
+            by_vm: BTreeMap::new(),
             untold: BTreeMap::new(),
             queue: Queue::default(),
             grants: Recent::default(),
@@ -265,6 +269,7 @@
         view: View<'_>,
         roster: &Roster,
         key: &Key,
+        is_silent: impl Fn(&VmId) -> bool,
         out: &mut Output,
     ) -> Vec<Answer> {
         let mut answers = Vec::new();
@@ -275,7 +280,11 @@
             return answers;
         };
         let targets = roster.targets(key);
-        let mut board = self.board(at, view, roster, key, pool, targets);
+        let mut board = self.board(at, view, roster, key, pool, &targets);
+        // What a silent VM holds may be gone: its places count on their
+        // targets, but not for the mean.
+        let silent = self.by_vm.iter().filter(|(vm, _)| is_silent(vm));
+        board.other_load -= silent.map(|(_, count)| i64::from(*count)).sum::<i64>();
         for slot in self.queue.slots() {
             let Some(waiting) = self.queue.get(slot) else { continue };
             let avoid = self.copies.avoid(at, &waiting.ask, targets);
@@ -329,13 +338,32 @@
         pool: &Pool,
         targets: &'a [TargetId],
     ) -> Board<'a> {
+        let vouched = self.queue.iter().filter(|(_, waiting)| waiting.vouched);
+        let vouched = vouched.filter_map(|(_, waiting)| Some(&waiting.ask.held_on.as_ref()?.0));
+        let vouched_ids: BTreeSet<_> = vouched.collect();
+        let mut unsure = 0;
         let live = targets.iter().filter_map(|id| {
-            let target = view.targets.get(id).filter(|target| target.takes_work())?;
+            let target = view.targets.get(id).filter(|target| target.leaving.is_none())?;
+            let open = target.takes_work();
+            if !open && !vouched_ids.contains(id) {
+                return None;
+            }
+            unsure += u32::from(!open);
             let count = self.counts.get(id).copied().unwrap_or_default();
             let load = count.load + self.untold(id);
-            Some(Seat { target: id, start: target.start(), load, overnight: count.overnight })
+            let overnight = count.overnight;
+            Some(Seat { target: id, start: target.start(), load, overnight, open })
         });
         let seats = live.collect();
+        let vouched = unsure;
+        // A target that only seems dead still runs what it was given; a dead
+        // one's requests break off and are released at once.
+        let hidden = targets.iter().filter_map(|id| {
+            let target = view.targets.get(id).filter(|target| target.leaving.is_none())?;
+            let hidden = !target.takes_work() && !vouched_ids.contains(id);
+            hidden.then(|| self.counts.get(id).map_or(0, |count| i64::from(count.load)))
+        });
+        let hidden: i64 = hidden.sum();
         let bound = match &pool.kind {
             Kind::Engine(engine) => {
                 Bound::Mean { factor: engine.load_factor, overnight_share: engine.overnight_share }
@@ -346,7 +374,8 @@
         let transit = self.grants.count(at, GRANT_TRANSIT);
         let rate = self.releases.count(at, RELEASE_WINDOW) as f64 / RELEASE_WINDOW.as_secs_f64();
         let ended = unheard(rate * RELEASE_TRANSIT.as_secs_f64());
-        let other_load = other_load as i64 - transit - ended;
+        let other_load = other_load as i64 + hidden - transit - ended;
+        let other_targets = other_targets.saturating_sub(vouched);
         Board { seats, bound, other_load, other_targets }
     }
 
@@ -356,7 +385,7 @@
     }
 
     fn estimate(&mut self, view: View<'_>, roster: &Roster, key: &Key, weight: f64) {
-        for id in roster.targets(key) {
+        for id in roster.targets(key).iter() {
             let Some(target) = view.targets.get(id) else { continue };
             let Some(report) = &target.report else { continue };
             let untold = self.untold.entry(id.clone()).or_default();
@@ -377,6 +406,7 @@
         let count = self.counts.entry(place.target.clone()).or_default();
         count.load += 1;
         count.overnight += u32::from(place.overnight);
+        *self.by_vm.entry(place.vm.clone()).or_default() += 1;
         self.places.insert(request, place);
     }
 
@@ -384,6 +414,9 @@
         if let Some(chat) = &place.chat {
             self.copies.remove(chat, &place.target);
         }
+        if let Some(count) = self.by_vm.get_mut(&place.vm) {
+            *count -= 1;
+        }
         let Some(count) = self.counts.get_mut(&place.target) else { return };
         count.load -= 1;
         count.overnight -= u32::from(place.overnight);
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -6,3 +6,4 @@
 mod refusal;
 mod resume;
 mod shutdown;
+mod usage;
