Show that two suspects never share a target, and shorten the booking tests

Cause: with the check of busy targets left out, all poison tests passed. The new `two_suspects_never_share_a_target` prints, with that mutation: left: ["e-1", "e-2", "e-2"], right: ["e-1", "e-2"].

The quiet two minutes of a booking property tick every 200 ms: that test took 20 s alone before; all 23 tests of bookings, poison, requests and retries take 12.5 s now.

--- a/crates/control/tests/all/booking.rs
+++ b/crates/control/tests/all/booking.rs
@@ -149,7 +149,9 @@
         let sent = play(&mut world, &script);
         world.run(60_000);
         world.faults = Faults::default();
+        world.tick = Span::from_millis(200);
         world.run(120_000);
+        world.tick = Span::from_millis(50);
         let answered = world.told.clone().into_iter();
         for (request, told) in answered {
             let (Told::Whole(bytes) | Told::Replay(bytes)) = told else { continue };
--- a/crates/control/tests/all/poison.rs
+++ b/crates/control/tests/all/poison.rs
@@ -1,7 +1,13 @@
 //! Requests that crash their targets, and the innocents beside them.
 
+use std::net::SocketAddr;
+
 use briarshift_control::request::{Outcome, Reason};
-use briarshift_units::{RequestId, Span};
+use briarshift_control::{Context, Identity, Output, Signal, member, poison, target};
+use briarshift_platform::{Listed, Role, Standing};
+use briarshift_target::Report;
+use briarshift_units::{Fingerprint, Moment, RequestId, Span, Start, WallTime};
+use briarshift_wire::poison::Trial;
 use proptest::prelude::{Just, any, prop, prop_assert, prop_assert_eq, proptest};
 
 use crate::world::{Faults, Told, World, chat, desk, digest};
@@ -116,3 +122,56 @@
     world.run(10_000);
     assert!(world.deaths.len() <= 2, "{:?}", world.deaths);
 }
+
+#[test]
+fn two_suspects_never_share_a_target() {
+    let me = Identity {
+        vm: "vm".parse().unwrap(),
+        start: Start(1),
+        data_centre: "dc".parse().unwrap(),
+        address: SocketAddr::from(([127, 0, 0, 1], 1)),
+        environment: "test".into(),
+        token_key: [0; 32],
+    };
+    let ctx = |millis: u64| {
+        let at = Moment::default() + Span::from_millis(millis);
+        Context { at, wall: WallTime(0), entropy: 0, me: &me }
+    };
+    let mut out = Output::default();
+    let mut targets = target::State::default();
+    let rows = ["e-0", "e-1", "e-2"].map(|id| Listed {
+        vm: id.parse().unwrap(),
+        role: Role::Target { pool: "chat".parse().unwrap() },
+        data_centre: "dc".parse().unwrap(),
+        address: me.address,
+        standing: Standing::Live,
+    });
+    targets.list(&ctx(0), &rows, &mut out);
+    for row in &rows {
+        let report = Report { start: Start(1), ..Report::default() };
+        let id = row.vm.as_str().parse().unwrap();
+        targets.load(&ctx(1), &id, Ok(report), &mut out);
+    }
+    let members = member::State::default();
+    let view = poison::View { targets: &targets, members: &members };
+    let mut state = poison::State::default();
+    for n in 0..3 {
+        let fingerprint = Fingerprint(n);
+        state.strike(&ctx(2), view, fingerprint, &"e-0".parse().unwrap(), &mut out);
+        let pool = "chat".parse().unwrap();
+        let trial = Trial { request: RequestId(n), fingerprint, pool, running: None };
+        state.attempt(&ctx(2), view, trial, &mut out);
+    }
+    let granted = |out: &Output| -> Vec<_> {
+        let tried = out.signals.iter().filter_map(|signal| match signal {
+            Signal::Tried(verdict) => verdict.target.clone().ok(),
+            _ => None,
+        });
+        tried.map(|target| target.to_string()).collect()
+    };
+    assert!(granted(&out).is_empty(), "copies that run are awaited first");
+    state.tick(&ctx(400), view, &mut out);
+    let mut first = granted(&out);
+    first.sort_unstable();
+    assert_eq!(first, ["e-1", "e-2"], "e-0 died, and the third waits");
+}
