--- a/crates/control/src/place/admit.rs
+++ b/crates/control/src/place/admit.rs
@@ -287,7 +287,7 @@
         board.other_load -= silent.map(|(_, count)| i64::from(*count)).sum::<i64>();
         for slot in self.queue.slots() {
             let Some(waiting) = self.queue.get(slot) else { continue };
-            let avoid = self.copies.avoid(at, &waiting.ask, targets);
+            let avoid = self.copies.avoid(at, &waiting.ask, &targets);
             let held_back = waiting.ask.avoid.len() < avoid.len();
             let choice = board.choose(&want(at, view, pool, waiting, &avoid));
             let waited = at.since(waiting.since);
--- a/crates/control/tests/all/order/fleet.rs
+++ b/crates/control/tests/all/order/fleet.rs
@@ -358,11 +358,5 @@
     let ctx = Context { at: Moment(0), wall: WallTime(0), entropy: 0, me: &me };
     let mut targets = target::State::default();
     targets.list(&ctx, rows, &mut Output::default());
-    Vm {
-        me,
-        state: State::default(),
-        targets,
-        paused_until: Moment(0),
-        inbox: Vec::new(),
-    }
+    Vm { me, state: State::default(), targets, paused_until: Moment(0), inbox: Vec::new() }
 }
