Test placement over any order of messages, and time one decision

Three VMs' placement reducers get messages in any order: the bound of a runner pool holds at every step, each request gets one verdict, also when any VM is lost at any moment, an account's burst holds exactly, and equal events give equal effects. Cache events: gaps forget.

--- /dev/null
+++ b/benches/decision.rs
@@ -0,0 +1,109 @@
+//! Cost of one placement decision: the choice among a slice's targets, and the
+//! whole path of an ask and its release through the placement reducer.
+
+use std::net::SocketAddr;
+
+use briarshift_control::{Context, Identity, Output, cache, member, place, target};
+use briarshift_platform::{Listed, Role, Standing};
+use briarshift_settings::{Document, Engine, Kind, Pool};
+use briarshift_target::Report;
+use briarshift_units::{ChatKey, Moment, RequestId, Start, TargetId, WallTime};
+use briarshift_wire::place::Ask;
+use criterion::{BenchmarkId, Criterion, criterion_group, criterion_main};
+
+/// Sizes of the pool.
+const ENGINES: [usize; 4] = [20, 240, 960, 2_000];
+
+fn address() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 1))
+}
+
+fn identity() -> Identity {
+    Identity {
+        vm: "vm-0".parse().expect("an id"),
+        start: Start(1),
+        data_centre: "dc-a".parse().expect("an id"),
+        address: address(),
+        environment: "bench".into(),
+        token_key: [1; 32],
+    }
+}
+
+fn document() -> Document {
+    let engine = Engine { load_factor: 1.25, place_wait_ms: 300, overnight_share: 0.5 };
+    let pool = Pool {
+        id: "chat".parse().expect("an id"),
+        owner: "rollenhaus".parse().expect("an id"),
+        kind: Kind::Engine(engine),
+        queue_wait_ms: 10_000,
+        queue_length: 2_000,
+        retry_share: 0.1,
+        orders: None,
+    };
+    Document { pools: vec![pool], ..Document::default() }
+}
+
+fn targets(ctx: &Context<'_>, count: usize) -> target::State {
+    let mut targets = target::State::default();
+    let rows = (0..count).map(|index| Listed {
+        vm: format!("e-{index}").parse().expect("an id"),
+        role: Role::Target { pool: "chat".parse().expect("an id") },
+        data_centre: "dc-a".parse().expect("an id"),
+        address: address(),
+        standing: Standing::Live,
+    });
+    let rows: Vec<_> = rows.collect();
+    targets.list(&rows);
+    for index in 0..count {
+        let id = format!("e-{index}").parse().expect("an id");
+        let report = Report { start: Start(1), ..Report::default() };
+        targets.load(ctx, &id, Ok(report), &mut Output::default());
+    }
+    targets
+}
+
+fn decision(c: &mut Criterion) {
+    let me = identity();
+    let document = document();
+    let mut group = c.benchmark_group("decision");
+    for count in ENGINES {
+        let at = Moment(1_000_000);
+        let ctx = Context { at, wall: WallTime(0), entropy: 0, me: &me };
+        let targets = targets(&ctx, count);
+        let view = place::View {
+            targets: &targets,
+            members: &member::State::default(),
+            document: &document,
+            cache: &cache::State::default(),
+        };
+        for held in [true, false] {
+            let mut places = place::State::default();
+            let mut number = 0_u64;
+            let name = if held { "held" } else { "ranked" };
+            group.bench_function(BenchmarkId::new(name, count), |bencher| {
+                bencher.iter(|| {
+                    number += 1;
+                    let target: TargetId =
+                        format!("e-{}", number as usize % count).parse().expect("an id");
+                    let ask = Ask {
+                        request: RequestId(number),
+                        pool: document.pools[0].id.clone(),
+                        account: "account-1".parse().expect("an id"),
+                        chat: ChatKey(number),
+                        held_on: held.then_some((target, Start(1))),
+                        overnight: false,
+                        avoid: Vec::new(),
+                    };
+                    let mut out = Output::default();
+                    places.ask(&ctx, view, ask, &mut out);
+                    places.release(&ctx, view, RequestId(number), &mut out);
+                    out.effects.len()
+                });
+            });
+        }
+    }
+    group.finish();
+}
+
+criterion_group!(benches, decision);
+criterion_main!(benches);
--- a/crates/control/src/place/admit.rs
+++ b/crates/control/src/place/admit.rs
@@ -287,7 +287,7 @@
         board.other_load -= silent.map(|(_, count)| i64::from(*count)).sum::<i64>();
         for slot in self.queue.slots() {
             let Some(waiting) = self.queue.get(slot) else { continue };
-            let avoid = self.copies.avoid(&waiting.ask, targets);
+            let avoid = self.copies.avoid(&waiting.ask, &targets);
             let choice = board.choose(&want(at, view, pool, waiting, &avoid));
             let waited = at.since(waiting.since);
             let place = match choice {
--- a/crates/control/tests/all/main.rs
+++ b/crates/control/tests/all/main.rs
@@ -2,6 +2,7 @@
 
 mod booking;
 mod order;
+mod place;
 mod poison;
 mod request;
 mod retry;
--- /dev/null
+++ b/crates/control/tests/all/place.rs
@@ -0,0 +1,312 @@
+//! Places stay within the bound for any order of events, and every request
+//! gets one verdict.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use briarshift_control::{Context, Effect, Identity, Output, Signal, cache, member, place, target};
+use briarshift_platform::{Listed, Role, Standing};
+use briarshift_settings::{Account, Document, Kind, Pool, Priority, Rate, Runner};
+use briarshift_target::{Change, ChangeKind, Report};
+use briarshift_units::{ChatKey, Moment, RequestId, Span, Start, TargetId, VmId, WallTime};
+use briarshift_wire::Message;
+use briarshift_wire::place::{Ask, Denial};
+use proptest::prelude::*;
+
+/// Requests at once on one runner.
+const CONCURRENCY: u32 = 2;
+/// Runners of the pool.
+const RUNNERS: usize = 3;
+/// Burst of the account.
+const BURST: u32 = 40;
+/// Time between two ticks.
+const TICK: Span = Span::from_millis(5);
+
+fn id<T: std::str::FromStr<Err: std::fmt::Debug>>(text: &str, index: usize) -> T {
+    format!("{text}-{index}").parse().unwrap()
+}
+
+fn address() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 1))
+}
+
+fn listed(vm: VmId, role: Role) -> Listed {
+    let data_centre = id("dc", 1);
+    Listed { vm, role, data_centre, address: address(), standing: Standing::Live }
+}
+
+fn document() -> Document {
+    let runner = Runner {
+        concurrency: CONCURRENCY,
+        timeout_ms: 1_000,
+        retention_s: 1,
+        repeatable: Vec::new(),
+    };
+    let account = Account {
+        id: id("account", 1),
+        owner: id("owner", 1),
+        key_sha256: "0".repeat(64).into(),
+        rate: Rate { per_second: 0.001, burst: BURST },
+        priority: Priority::Interactive,
+    };
+    let pool = Pool {
+        id: id("pool", 1),
+        owner: id("owner", 1),
+        kind: Kind::Runner(runner),
+        queue_wait_ms: 2_000,
+        queue_length: 100,
+        retry_share: 0.1,
+        orders: None,
+    };
+    Document { accounts: vec![account], pools: vec![pool], ..Document::default() }
+}
+
+struct Vm {
+    me: Identity,
+    places: place::State,
+    targets: target::State,
+    members: member::State,
+    alive: bool,
+}
+
+/// A few VMs, messages under way, and what became of requests.
+struct Fleet {
+    at: Moment,
+    document: Document,
+    vms: Vec<Vm>,
+    mail: Vec<(usize, VmId, Message)>,
+    verdicts: BTreeMap<RequestId, Vec<Result<TargetId, Denial>>>,
+    running: BTreeMap<RequestId, (usize, TargetId)>,
+    owners: BTreeMap<RequestId, usize>,
+    log: Vec<String>,
+}
+
+impl Fleet {
+    fn new(count: usize) -> Self {
+        let vms = (0..count).map(|index| Vm {
+            me: Identity {
+                vm: id("vm", index),
+                start: Start(1),
+                data_centre: id("dc", 1),
+                address: address(),
+                environment: "test".into(),
+                token_key: [0; 32],
+            },
+            places: place::State::default(),
+            targets: target::State::default(),
+            members: member::State::default(),
+            alive: true,
+        });
+        let mut fleet = Self {
+            at: Moment(1_000_000),
+            document: document(),
+            vms: vms.collect(),
+            mail: Vec::new(),
+            verdicts: BTreeMap::new(),
+            running: BTreeMap::new(),
+            owners: BTreeMap::new(),
+            log: Vec::new(),
+        };
+        let role = || Role::Target { pool: id("pool", 1) };
+        let targets: Vec<_> = (0..RUNNERS).map(|i| listed(id("r", i), role())).collect();
+        let peers: Vec<_> = (0..count).map(|i| listed(id("vm", i), Role::Entry)).collect();
+        for vm in &mut fleet.vms {
+            let ctx = Context { at: fleet.at, wall: WallTime(0), entropy: 0, me: &vm.me };
+            vm.members.list(&ctx, &peers);
+            vm.targets.list(&targets);
+            for index in 0..RUNNERS {
+                let report = Report { start: Start(1), ..Report::default() };
+                vm.targets.load(&ctx, &id("r", index), Ok(report), &mut Output::default());
+            }
+        }
+        fleet
+    }
+
+    fn with(
+        &mut self,
+        index: usize,
+        apply: impl FnOnce(&mut place::State, &Context<'_>, place::View<'_>, &mut Output),
+    ) {
+        let vm = &mut self.vms[index];
+        if !vm.alive {
+            return;
+        }
+        let ctx = Context { at: self.at, wall: WallTime(0), entropy: 0, me: &vm.me };
+        let view = place::View {
+            targets: &vm.targets,
+            members: &vm.members,
+            document: &self.document,
+            cache: &cache::State::default(),
+        };
+        let mut out = Output::default();
+        apply(&mut vm.places, &ctx, view, &mut out);
+        let from = vm.me.vm.clone();
+        for effect in out.effects {
+            self.log.push(format!("{index} {effect:?}"));
+            let Effect::Send { to, message, .. } = effect else { continue };
+            let to = to.as_str().trim_start_matches("vm-").parse().unwrap();
+            self.mail.push((to, from.clone(), message));
+        }
+        for signal in out.signals {
+            let Signal::Placed(verdict) = signal else { continue };
+            if let Ok(target) = &verdict.place {
+                self.running.insert(verdict.request, (index, target.clone()));
+            }
+            self.verdicts.entry(verdict.request).or_default().push(verdict.place);
+        }
+    }
+
+    fn ask(&mut self, vm: usize, number: u64) {
+        let ask = Ask {
+            request: RequestId(number),
+            pool: id("pool", 1),
+            account: id("account", 1),
+            chat: ChatKey(number),
+            held_on: None,
+            overnight: false,
+            avoid: Vec::new(),
+        };
+        self.owners.insert(ask.request, vm);
+        self.with(vm, |places, ctx, view, out| places.ask(ctx, view, ask, out));
+    }
+
+    fn release(&mut self, nth: usize) {
+        let Some((&request, &(vm, _))) = self.running.iter().nth(nth % 7) else { return };
+        self.running.remove(&request);
+        self.with(vm, |places, ctx, view, out| places.release(ctx, view, request, out));
+    }
+
+    fn deliver(&mut self, nth: usize) {
+        if self.mail.is_empty() {
+            return;
+        }
+        let (to, from, message) = self.mail.remove(nth % self.mail.len());
+        let Message::Place(message) = message else { return };
+        self.with(to, |places, ctx, view, out| places.peer(ctx, view, &from, message, out));
+    }
+
+    fn tick(&mut self) {
+        self.at = self.at + TICK;
+        for vm in 0..self.vms.len() {
+            self.with(vm, place::State::tick);
+        }
+    }
+
+    /// Delivers all mail and lets time pass; ends what runs.
+    fn settle(&mut self) {
+        for _ in 0..800 {
+            while !self.mail.is_empty() {
+                self.deliver(0);
+                self.check_bound();
+            }
+            self.tick();
+            self.release(0);
+        }
+    }
+
+    fn kill(&mut self, index: usize) {
+        self.vms[index].alive = false;
+        self.running.retain(|_, (vm, _)| *vm != index);
+    }
+
+    fn check_bound(&self) {
+        let mut loads = BTreeMap::<_, u32>::new();
+        for (_, target) in self.running.values() {
+            *loads.entry(target).or_default() += 1;
+        }
+        assert!(loads.values().all(|load| *load <= CONCURRENCY), "above the bound: {loads:?}");
+    }
+
+    fn check_verdicts(&self) {
+        for (request, vm) in self.owners.iter().filter(|(_, vm)| self.vms[**vm].alive) {
+            let count = self.verdicts.get(request).map_or(0, Vec::len);
+            assert_eq!(count, 1, "verdicts of {request}, asked by vm-{vm}");
+        }
+    }
+}
+
+#[derive(Debug, Clone)]
+enum Step {
+    Ask(usize),
+    Release(usize),
+    Deliver(usize),
+    Tick,
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        3 => (0_usize..3).prop_map(Step::Ask),
+        2 => (0_usize..7).prop_map(Step::Release),
+        6 => (0_usize..50).prop_map(Step::Deliver),
+        2 => Just(Step::Tick),
+    ]
+}
+
+fn run(steps: &[Step], killed: Option<(usize, usize)>) -> Fleet {
+    let mut fleet = Fleet::new(3);
+    for (number, step) in steps.iter().enumerate() {
+        if let Some((vm, _)) = killed.filter(|(_, at)| *at == number) {
+            fleet.kill(vm);
+        }
+        match step {
+            Step::Ask(vm) => fleet.ask(*vm, number as u64),
+            Step::Release(nth) => fleet.release(*nth),
+            Step::Deliver(nth) => fleet.deliver(*nth),
+            Step::Tick => fleet.tick(),
+        }
+        fleet.check_bound();
+    }
+    fleet.settle();
+    fleet
+}
+
+proptest! {
+    #[test]
+    fn the_bound_holds_in_any_order(steps in prop::collection::vec(step(), 1..150)) {
+        run(&steps, None).check_verdicts();
+    }
+
+    #[test]
+    fn a_lost_vm_costs_no_verdict(
+        steps in prop::collection::vec(step(), 1..150),
+        vm in 0_usize..3,
+        at in 0_usize..150,
+    ) {
+        run(&steps, Some((vm, at))).check_verdicts();
+    }
+
+    #[test]
+    fn equal_events_give_equal_effects(steps in prop::collection::vec(step(), 1..60)) {
+        prop_assert_eq!(run(&steps, None).log, run(&steps, None).log);
+    }
+
+    #[test]
+    fn the_limit_holds_in_any_order(vms in prop::collection::vec(0_usize..3, 41..80)) {
+        let steps: Vec<_> = vms.iter().copied().map(Step::Ask).collect();
+        let fleet = run(&steps, None);
+        let limited = |verdicts: &&Vec<Result<TargetId, Denial>>| {
+            matches!(verdicts[..], [Err(Denial::Limit { .. })])
+        };
+        let limited = fleet.verdicts.values().filter(limited).count();
+        prop_assert_eq!(limited, vms.len() - BURST as usize);
+    }
+}
+
+fn check_cache(changes: &[(u64, u64, ChangeKind)], evicted: &[u64]) {
+    let mut state = cache::State::default();
+    let target: TargetId = id("e", 1);
+    let row = |&(sequence, chat, kind)| Change { sequence, chat: ChatKey(chat), kind };
+    let changes = changes.iter().map(row).collect();
+    state.changes(&target, Ok(changes), &mut Output::default());
+    for chat in 0..5 {
+        let found = state.has_evicted(&target, ChatKey(chat));
+        assert_eq!(found, evicted.contains(&chat), "chat {chat}");
+    }
+}
+
+#[test]
+fn cache_events_correct_and_gaps_forget() {
+    use ChangeKind::{Evicted, Stored};
+    check_cache(&[(1, 1, Evicted), (2, 2, Evicted), (3, 1, Stored)], &[2]);
+    check_cache(&[(1, 1, Evicted), (3, 2, Evicted)], &[2]);
+}
