Choose the slice by weight, not by ranking the whole pool

Change: weighted rendezvous over slices by their live targets; one pass over a slice's targets; places are scanned only when a holder is gone.

--- a/crates/control/src/place/admit.rs
+++ b/crates/control/src/place/admit.rs
@@ -221,6 +221,10 @@
 
     /// Drops the places of VMs that are gone: their requests are broken off.
     pub fn retain(&mut self, at: Moment, is_known: impl Fn(&VmId) -> bool) {
+        self.by_vm.retain(|_, count| 0 < *count);
+        if self.by_vm.keys().all(&is_known) {
+            return;
+        }
         let gone = self.places.iter().filter(|(_, place)| !is_known(&place.vm));
         let gone: Vec<_> = gone.map(|(request, _)| *request).collect();
         for request in gone {
@@ -339,30 +343,23 @@
     ) -> Board<'a> {
         let vouched = self.queue.iter().filter(|(_, waiting)| waiting.vouched);
         let vouched = vouched.filter_map(|(_, waiting)| Some(&waiting.ask.held_on.as_ref()?.0));
-        let vouched_ids: BTreeSet<_> = vouched.collect();
-        let mut unsure = 0;
-        let live = targets.iter().filter_map(|id| {
-            let target = view.targets.get(id).filter(|target| target.leaving.is_none())?;
+        let vouched: BTreeSet<_> = vouched.collect();
+        let (mut seats, mut unsure, mut hidden) = (Vec::with_capacity(targets.len()), 0, 0);
+        for id in targets {
+            let target = view.targets.get(id).filter(|target| target.leaving.is_none());
+            let Some(target) = target else { continue };
+            let Count { load, overnight } = self.counts.get(id).copied().unwrap_or_default();
             let open = target.takes_work();
-            if !open && !vouched_ids.contains(id) {
-                return None;
+            if !open && !vouched.contains(id) {
+                // It may only seem dead and still run what it was given; a
+                // dead one's requests break off and are released at once.
+                hidden += i64::from(load);
+                continue;
             }
             unsure += u32::from(!open);
-            let count = self.counts.get(id).copied().unwrap_or_default();
-            let load = count.load + self.untold(id);
-            let overnight = count.overnight;
-            Some(Seat { target: id, start: target.start(), load, overnight, open })
-        });
-        let seats = live.collect();
-        let vouched = unsure;
-        // A target that only seems dead still runs what it was given; a dead
-        // one's requests break off and are released at once.
-        let hidden = targets.iter().filter_map(|id| {
-            let target = view.targets.get(id).filter(|target| target.leaving.is_none())?;
-            let hidden = !target.takes_work() && !vouched_ids.contains(id);
-            hidden.then(|| self.counts.get(id).map_or(0, |count| i64::from(count.load)))
-        });
-        let hidden: i64 = hidden.sum();
+            let load = load + self.untold(id);
+            seats.push(Seat { target: id, start: target.start(), load, overnight, open });
+        }
         let bound = match &pool.kind {
             Kind::Engine(engine) => {
                 Bound::Mean { factor: engine.load_factor, overnight_share: engine.overnight_share }
@@ -374,7 +371,7 @@
         let rate = self.releases.count(at, RELEASE_WINDOW) as f64 / RELEASE_WINDOW.as_secs_f64();
         let ended = unheard(rate * RELEASE_TRANSIT.as_secs_f64());
         let other_load = other_load as i64 + hidden - transit - ended;
-        let other_targets = other_targets.saturating_sub(vouched);
+        let other_targets = other_targets.saturating_sub(unsure);
         Board { seats, bound, other_load, other_targets }
     }
 
--- a/crates/control/src/place/roster.rs
+++ b/crates/control/src/place/roster.rs
@@ -115,18 +115,20 @@
     }
 
     /// The slice to ask for a place: that of the target that holds the
-    /// context, else that of the chat's first target.
+    /// context, else one by the chat, weighted by its live targets, so that
+    /// the cost does not grow with the pool.
     pub fn slice(&self, view: View<'_>, ask: &Ask) -> Slice {
         let Some(pool) = self.pools.get(&ask.pool).filter(|pool| 1 < pool.parts.len()) else {
             return Slice(1);
         };
         let takes_work = |id: &&TargetId| view.targets.get(id).is_some_and(Target::takes_work);
         let held = ask.held_on.as_ref().map(|(id, _)| id).filter(takes_work);
-        let ids = || pool.parts.iter().flat_map(|part| &part.targets);
-        let open = |id: &&TargetId| takes_work(id) && !ask.avoid.contains(id);
-        let best = || rank::best(ask.chat, ids().filter(open), |id| id.as_str());
-        let Some(id) = held.or_else(best) else { return Slice(pool.parts.len() as u32) };
-        self.slice_of(&ask.pool, id)
+        if let Some(id) = held.filter(|id| !ask.avoid.contains(id)) {
+            return self.slice_of(&ask.pool, id);
+        }
+        let count = pool.parts.len();
+        let weights = pool.parts.iter().map(|part| part.live);
+        Slice((count + rank::weighted(ask.chat, weights).unwrap_or(0)) as u32)
     }
 
     /// The slice of a target, as the pool is cut now.
--- a/crates/routing/src/rank.rs
+++ b/crates/routing/src/rank.rs
@@ -56,3 +56,27 @@
     // `min_by_key` keeps the first of equals, as the stable sort above does.
     items.into_iter().min_by_key(|item| Reverse(score(chat, name(item))))
 }
+
+/// The best of weighted parts for a chat: each part is best for a share of
+/// chats in proportion to its weight, and a part that changes its weight moves
+/// only chats to or from itself. `None` if all weights are 0.
+///
+/// # Examples
+///
+/// ```
+/// use briarshift_routing::rank::weighted;
+/// use briarshift_units::ChatKey;
+/// assert_eq!(weighted(ChatKey(9), [0, 3, 0]), Some(1));
+/// assert_eq!(weighted(ChatKey(9), [0, 0]), None);
+/// ```
+pub fn weighted(chat: ChatKey, weights: impl IntoIterator<Item = u32>) -> Option<usize> {
+    let parts = weights.into_iter().enumerate().filter(|(_, weight)| 0 < *weight);
+    let cost = |index: usize, weight: u32| {
+        let hash = xxh3_64_with_seed(&(index as u64).to_le_bytes(), chat.0);
+        // Uniform in (0, 1], from the upper 53 bits.
+        let uniform = ((hash >> 11) + 1) as f64 / (1_u64 << 53) as f64;
+        -uniform.ln() / f64::from(weight)
+    };
+    let best = parts.min_by(|a, b| cost(a.0, a.1).total_cmp(&cost(b.0, b.1)));
+    best.map(|(index, _)| index)
+}
--- a/crates/routing/tests/all/rank.rs
+++ b/crates/routing/tests/all/rank.rs
@@ -1,6 +1,6 @@
 //! Ranking moves only the chats of the target that left.
 
-use briarshift_routing::rank::{best, order};
+use briarshift_routing::rank::{best, order, weighted};
 use briarshift_units::ChatKey;
 use proptest::prelude::*;
 
@@ -16,4 +16,19 @@
         prop_assert_eq!(best(ChatKey(chat), left, |name| name), expected.first().copied());
         prop_assert_eq!(after, expected);
     }
+
+    #[test]
+    fn a_part_that_changes_moves_only_its_own_chats(
+        chat: u64,
+        mut weights in prop::collection::vec(0_u32..50, 1..40),
+        part in 0_usize..40,
+        weight in 0_u32..50,
+    ) {
+        let before = weighted(ChatKey(chat), weights.iter().copied());
+        let part = part % weights.len();
+        weights[part] = weight;
+        let after = weighted(ChatKey(chat), weights.iter().copied());
+        prop_assert!(before == after || before == Some(part) || after == Some(part));
+        prop_assert!(after.is_none_or(|index| 0 < weights[index]));
+    }
 }
