Keep place messages from waiting, and a slice with whom it was given to

The trace (log lines now name their VM) shows two steps. Second, a VM that stepped down for another still ranked itself first, sent its queue to itself and claimed again; two such VMs answered each other without end. The same loop, in a test that delivered mail until none was left, had eaten the machine's memory.

Ruled out: only trusting the VM that wants the slice (21733 changes): a redirect from a third VM undid it.

Change: a place message waits 5 ms at most and what it sends beyond the budget is counted and shown; a VM that steps down believes the one it stepped down for, and a redirect to itself does not undo that.

Conclusion: a limit must not delay what its own delay makes more of.

--- a/crates/control/src/place/entry.rs
+++ b/crates/control/src/place/entry.rs
@@ -230,7 +230,11 @@
         let Some(asked) = self.entry.asked.get_mut(&request) else { return };
         asked.hops += 1;
         let key = asked.key.clone();
-        self.duty.trust(ctx.at, &key, to);
+        // A VM that has just stepped down for another does not take the slice
+        // back because a third has not heard of it yet.
+        if to.vm != ctx.me.vm || !self.duty.trusts_another(ctx, &key) {
+            self.duty.trust(ctx.at, &key, to);
+        }
         self.send_ask(ctx, view, request, out);
     }
 
--- a/crates/daemon/src/control.rs
+++ b/crates/daemon/src/control.rs
@@ -9,7 +9,7 @@
 use briarshift_control::status::{Counts, Status};
 use briarshift_control::{Effect, Event, Identity, Kind, State};
 use briarshift_settings::Document;
-use briarshift_units::RequestId;
+use briarshift_units::{RequestId, VmId};
 use tokio::sync::{mpsc, watch};
 
 use crate::clock::Clock;
@@ -57,6 +57,7 @@
 
 /// The actor.
 pub(crate) struct Control {
+    vm: VmId,
     state: State,
     clock: Clock,
     driver: Rc<Driver>,
@@ -68,6 +69,7 @@
 impl Control {
     pub(crate) fn new(me: Identity, driver: Driver, metrics: Metrics) -> Self {
         Self {
+            vm: me.vm.clone(),
             state: State::new(me),
             clock: Clock::new(),
             driver: Rc::new(driver),
@@ -94,7 +96,7 @@
             Effect::Decide { request, decision } => self.decide(request, decision),
             Effect::Log(record) => {
                 self.metrics.record(&record);
-                log::info!("{record}");
+                log::info!("{record} vm={}", self.vm);
             }
             Effect::Drained => {
                 self.drained.send_replace(true);
--- a/crates/peer/src/budget.rs
+++ b/crates/peer/src/budget.rs
@@ -9,8 +9,10 @@
 //! debt that half of the rate pays back, out of the share of places, so the mean
 //! stays within the budget while places and gossip go on. Frames that wait for
 //! tokens leave as one ([`crate::Queue::batch`]), which saves them the overhead of
-//! a datagram each: a VM short of tokens gets slower by milliseconds, not by
-//! losing messages.
+//! a datagram each. A place message waits a few milliseconds at most, tokens or
+//! no tokens: held up longer, it would be taken for lost and asked for again,
+//! which makes more messages. What goes beyond the budget that way is counted
+//! ([`Budget::excess`]).
 
 use briarshift_units::{BytesPerSecond, Moment, Span};
 
@@ -22,6 +24,9 @@
 const GOSSIP_PART: i64 = 4;
 /// Debt at which no further document starts, in seconds of the rate.
 const MAX_DEBT_SECS: i64 = 60;
+/// Longest wait of a place message: a caller waits for it, and the VM that
+/// asked takes silence for loss.
+const MAX_PLACE_WAIT: Span = Span::from_millis(5);
 /// Longest pause before the budget is asked again.
 const MAX_WAIT: Span = Span::from_secs(1);
 
@@ -40,11 +45,11 @@
 ///
 /// ```
 /// use briarshift_peer::{Budget, Class, Verdict};
-/// use briarshift_units::{BytesPerSecond, Moment};
+/// use briarshift_units::{BytesPerSecond, Moment, Span};
 /// let mut budget = Budget::new(BytesPerSecond(1_000), Moment(0));
-/// assert_eq!(budget.take(Moment(0), Class::Gossip, 250), Verdict::Go);
-/// assert!(matches!(budget.take(Moment(0), Class::Gossip, 100), Verdict::Wait(_)));
-/// assert_eq!(budget.take(Moment(0), Class::Place, 100), Verdict::Go);
+/// assert_eq!(budget.take(Moment(0), Class::Gossip, 250, Span::ZERO), Verdict::Go);
+/// assert!(matches!(budget.take(Moment(0), Class::Gossip, 100, Span::ZERO), Verdict::Wait(_)));
+/// assert_eq!(budget.take(Moment(0), Class::Place, 100, Span::ZERO), Verdict::Go);
 /// ```
 #[derive(Debug, Clone)]
 pub struct Budget {
@@ -52,6 +57,7 @@
     places: i64,
     gossip: i64,
     debt: i64,
+    excess: u64,
     refilled: Moment,
 }
 
@@ -60,11 +66,12 @@
     pub fn new(rate: BytesPerSecond, now: Moment) -> Self {
         let rate = i64::try_from(rate.0).unwrap_or(i64::MAX / SCALE).clamp(1, i64::MAX / SCALE);
         let gossip = rate * SCALE / GOSSIP_PART;
-        Self { rate, places: rate * SCALE - gossip, gossip, debt: 0, refilled: now }
+        Self { rate, places: rate * SCALE - gossip, gossip, debt: 0, excess: 0, refilled: now }
     }
 
-    /// Asks to send a frame of `bytes`, and charges them if it may go.
-    pub fn take(&mut self, now: Moment, class: Class, bytes: usize) -> Verdict {
+    /// Asks to send a frame of `bytes` that has `waited` for tokens, and charges
+    /// them if it may go.
+    pub fn take(&mut self, now: Moment, class: Class, bytes: usize, waited: Span) -> Verdict {
         self.refill(now);
         let cost = scaled(bytes);
         let second = self.rate * SCALE;
@@ -78,8 +85,15 @@
             }
             Class::Gossip => (cost - spill - self.gossip, self.rate / GOSSIP_PART),
         };
+        let late = class == Class::Place && MAX_PLACE_WAIT <= waited;
+        if 0 < missing && !late {
+            let wait = time_for(missing, rate);
+            let rest = MAX_PLACE_WAIT - waited;
+            return Verdict::Wait(if class == Class::Place { wait.min(rest) } else { wait });
+        }
         if 0 < missing {
-            return Verdict::Wait(time_for(missing, rate));
+            self.excess = self.excess.saturating_add(bytes as u64);
+            return Verdict::Go;
         }
         match class {
             Class::Place => self.places -= cost,
@@ -92,6 +106,11 @@
         Verdict::Go
     }
 
+    /// Bytes of place messages that went beyond the budget.
+    pub fn excess(&self) -> u64 {
+        self.excess
+    }
+
     /// Charges bytes that leave without being asked for, such as a handshake.
     pub fn charge(&mut self, now: Moment, bytes: usize) {
         self.refill(now);
