Fill an engine's room without waiting for demand

Cause: an engine that joined in a quiet hour stayed empty until somebody asked for a model, and that caller then paid for the load.

The `room` rule now takes the model of the highest demand for each replica, of equal ones that with the fewest replicas, with or without demand. The property test is stricter: every engine ends full. Before the change it printed one model instead of two.

--- a/crates/control/src/order/plan.rs
+++ b/crates/control/src/order/plan.rs
@@ -144,7 +144,7 @@
 fn room(engines: &[Engine], needs: &Needs) -> Option<Move> {
     let engine = quietest(engines.iter().filter(|engine| engine.has_room()))?;
     let mut wanting = pressures(engines, needs);
-    wanting.retain(|pressure| 0.0 < pressure.load && !engine.holds(&pressure.model));
+    wanting.retain(|pressure| !engine.holds(&pressure.model));
     Some(load(engine, &wanting.first()?.model, Why::Room))
 }
 
@@ -163,18 +163,20 @@
 struct Pressure {
     model: ModelId,
     load: f64,
+    replicas: usize,
 }
 
-/// Models by load for each replica, highest first.
+/// Models by load for each replica, highest first; of equal ones, those with
+/// fewer replicas first.
 fn pressures(engines: &[Engine], needs: &Needs) -> Vec<Pressure> {
     let mut all: Vec<_> = needs
         .iter()
-        .map(|(model, need)| Pressure {
-            model: model.clone(),
-            load: need / replicas(engines, model).max(1) as f64,
+        .map(|(model, need)| {
+            let replicas = replicas(engines, model);
+            Pressure { model: model.clone(), load: need / replicas.max(1) as f64, replicas }
         })
         .collect();
-    all.sort_by(|a, b| b.load.total_cmp(&a.load));
+    all.sort_by(|a, b| b.load.total_cmp(&a.load).then(a.replicas.cmp(&b.replicas)));
     all
 }
 
@@ -188,6 +190,7 @@
         .map(|(model, need, replicas)| Pressure {
             model: model.clone(),
             load: need / (replicas - 1) as f64,
+            replicas,
         })
         .collect();
     all.sort_by(|a, b| a.load.total_cmp(&b.load));
--- a/crates/control/tests/all/order/holder.rs
+++ b/crates/control/tests/all/order/holder.rs
@@ -63,7 +63,7 @@
             prop_assert!(served, "no engine holds {}", name);
         }
         for engine in &fleet.engines {
-            prop_assert!(engine.models.len() <= ROOM as usize);
+            prop_assert_eq!(engine.models.len(), ROOM as usize);
         }
         let orders = fleet.orders;
         fleet.run(60);
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -2,6 +2,7 @@
 //! around them.
 
 mod fleet;
+mod order;
 mod path;
 mod refusal;
 mod shutdown;
