--- a/benches/policy/fleet.rs
+++ b/benches/policy/fleet.rs
@@ -9,6 +9,7 @@
 use briarshift_target::Failure;
 use briarshift_units::{Moment, RequestId, Start, TargetId, VmId, WallTime};
 use briarshift_wire::Message;
+use briarshift_wire::gossip::{self, Health, Member};
 use briarshift_wire::place::Ask;
 
 use crate::policy::{Action, Known, Policy};
@@ -24,6 +25,7 @@
 
 struct Vm {
     me: Identity,
+    at: Moment,
     places: place::State,
     targets: target::State,
     members: member::State,
@@ -42,6 +44,7 @@
         };
         Self {
             me,
+            at: Moment(0),
             places: place::State::default(),
             targets: target::State::default(),
             members: member::State::default(),
@@ -112,7 +115,9 @@
     }
 
     fn suspect(&mut self, vm: usize, target: &TargetId) {
-        self.vms[vm].targets.suspect(target);
+        let vm = &mut self.vms[vm];
+        let ctx = Context { at: vm.at, wall: WallTime(0), entropy: 0, me: &vm.me };
+        vm.targets.suspect(&ctx, target, &mut Output::default());
     }
 
     fn reports(&mut self, at: Moment, vm: usize, known: &[Known], _: &mut Vec<Action>) {
@@ -125,7 +130,7 @@
         }
     }
 
-    fn engines(&mut self, _: Moment, vm: usize, listed: &[(TargetId, bool)]) {
+    fn engines(&mut self, at: Moment, vm: usize, listed: &[(TargetId, bool)]) {
         let rows = listed.iter().map(|(id, leaving)| Listed {
             vm: id.as_str().parse().expect("an id"),
             role: Role::Target { pool: self.document.pools[0].id.clone() },
@@ -134,22 +139,27 @@
             standing: if *leaving { Standing::Leaving } else { Standing::Live },
         });
         let rows: Vec<_> = rows.collect();
-        self.vms[vm].targets.list(&rows);
+        let vm = &mut self.vms[vm];
+        let ctx = Context { at, wall: WallTime(0), entropy: 0, me: &vm.me };
+        vm.targets.list(&ctx, &rows, &mut Output::default());
     }
 
     fn vms(&mut self, at: Moment, vm: usize, listed: &[VmId]) {
-        let rows = listed.iter().map(|id| Listed {
-            vm: id.clone(),
-            role: Role::Entry,
-            data_centre: "dc-a".parse().expect("an id"),
-            address: address(),
-            standing: Standing::Live,
-        });
-        let rows: Vec<_> = rows.collect();
         let vm = &mut self.vms[vm];
         let ctx = Context { at, wall: WallTime(0), entropy: 0, me: &vm.me };
         vm.members = member::State::default();
-        vm.members.list(&ctx, &rows);
+        let members = listed.iter().filter(|id| **id != ctx.me.vm).map(|id| Member {
+            vm: id.clone(),
+            data_centre: ctx.me.data_centre.clone(),
+            address: address(),
+            start: Start(1),
+            version: 0,
+            health: Health::Alive,
+        });
+        let message = gossip::Message { members: members.collect(), ..Default::default() };
+        if let Some(first) = message.members.first().map(|member| member.vm.clone()) {
+            vm.members.gossip(&ctx, &first, &message, &mut Output::default());
+        }
     }
 
     fn deliver(
@@ -167,6 +177,11 @@
     }
 
     fn tick(&mut self, at: Moment, vm: usize, out: &mut Vec<Action>) {
+        let state = &mut self.vms[vm];
+        state.at = at;
+        let ctx = Context { at, wall: WallTime(0), entropy: 0, me: &state.me };
+        // The world polls by itself; this only ends holds.
+        state.targets.tick(&ctx, &state.members, &mut Output::default());
         self.with(at, vm, out, place::State::tick);
     }
 
--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -47,6 +47,13 @@
         }
     }
 
+    /// Proposes peers from the settings, to join through.
+    pub fn seed(&mut self, peers: impl IntoIterator<Item = member::Seed>) {
+        for peer in peers {
+            self.members.seed(peer);
+        }
+    }
+
     /// Numbers for gauges.
     pub fn counts(&self) -> Counts {
         Counts {
@@ -90,7 +97,11 @@
         let me = Arc::clone(&self.me);
         let ctx = Context { at: event.at, wall: event.wall, entropy: event.entropy, me: &me };
         let mut out = Output::default();
+        let revision = self.document.revision();
         self.dispatch(&ctx, event.kind, &mut out);
+        if revision != self.document.revision() {
+            out.signal(Signal::News);
+        }
         while !out.signals.is_empty() {
             for signal in std::mem::take(&mut out.signals) {
                 self.signal(&ctx, signal, &mut out);
@@ -123,6 +134,7 @@
             Kind::Peer { from, message } => match message {
                 Message::Gossip(message) => {
                     self.members.gossip(ctx, &from, &message, out);
+                    self.targets.gossip(ctx, &message.loads, out);
                     self.document.head(ctx, &self.members, &from, message.document, out);
                 }
                 Message::Place(message) => self.with_places(|places, view| {
@@ -144,7 +156,7 @@
             },
             Kind::List(Ok(rows)) => {
                 self.members.list(ctx, &rows);
-                self.targets.list(&rows);
+                self.targets.list(ctx, &rows, out);
             }
             Kind::List(Err(_)) => {}
             Kind::Load { target, result } => {
@@ -153,14 +165,17 @@
             }
             Kind::Changes { target, result } => self.cache.changes(&target, result, out),
             Kind::Ordered { target, result } => self.orders.ordered(ctx, &target, &result, out),
-            Kind::Drain => self.requests.drain(),
+            Kind::Drain => {
+                self.requests.drain();
+                self.members.leave(out);
+            }
         }
     }
 
     fn tick(&mut self, ctx: &Context<'_>, out: &mut Output) {
         self.document.tick(ctx, &self.members, out);
         self.members.tick(ctx, out);
-        self.targets.tick(ctx, out);
+        self.targets.tick(ctx, &self.members, out);
         self.with_places(|places, view| places.tick(ctx, view, out));
         self.with_requests(|requests, view| requests.tick(ctx, view, out));
         self.bookings.tick(ctx, out);
@@ -190,7 +205,7 @@
             Signal::Settle(id, outcome) => self.bookings.settle(ctx, id, outcome, out),
             Signal::Look(booking) => self.bookings.look(ctx, booking, out),
             Signal::Unclaim(id) => self.bookings.unclaim(ctx, id, out),
-            Signal::Suspect(target) => self.targets.suspect(&target),
+            Signal::Suspect(target) => self.targets.suspect(ctx, &target, out),
             Signal::Strike(fingerprint, target) => self.with_poison(|poison, view| {
                 poison.strike(ctx, view, fingerprint, &target, out);
             }),
@@ -215,9 +230,21 @@
                 self.usage.count(ctx, &sample);
             }
             Signal::Sent(_) => {}
+            Signal::Round(round) => self.round(ctx, round, out),
+            Signal::News => self.members.news(),
         }
     }
 
+    /// Fills a message of gossip with what each concern has to tell.
+    fn round(&mut self, ctx: &Context<'_>, round: member::Round, out: &mut Output) {
+        let (mut message, mut room) = self.members.begin(ctx, &round);
+        message.document = self.document.in_force();
+        self.targets.fill(ctx, round.purpose, &mut message, &mut room);
+        self.members.end(ctx, round.purpose, &mut message, &mut room);
+        let member::Round { to, address, .. } = round;
+        out.push(Effect::Send { to, address, message: Message::Gossip(message) });
+    }
+
     fn with_requests(&mut self, apply: impl FnOnce(&mut request::State, request::View<'_>)) {
         let view = request::View {
             document: self.document.current(),
--- a/crates/control/tests/all/order/fleet.rs
+++ b/crates/control/tests/all/order/fleet.rs
@@ -347,17 +347,19 @@
 }
 
 fn vm(number: usize, rows: &[Listed]) -> Vm {
+    let me = Identity {
+        vm: format!("v{number}").parse().unwrap(),
+        start: Start(1),
+        data_centre: "d".parse().unwrap(),
+        address: address(),
+        environment: "test".into(),
+        token_key: [0; 32],
+    };
+    let ctx = Context { at: Moment(0), wall: WallTime(0), entropy: 0, me: &me };
     let mut targets = target::State::default();
-    targets.list(rows);
+    targets.list(&ctx, rows, &mut Output::default());
     Vm {
-        me: Identity {
-            vm: format!("v{number}").parse().unwrap(),
-            start: Start(1),
-            data_centre: "d".parse().unwrap(),
-            address: address(),
-            environment: "test".into(),
-            token_key: [0; 32],
-        },
+        me,
         state: State::default(),
         targets,
         paused_until: Moment(0),
