--- a/crates/control/src/place/admit.rs
+++ b/crates/control/src/place/admit.rs
@@ -289,10 +289,20 @@
         // targets, but not for the mean.
         let silent = self.by_vm.iter().filter(|(vm, _)| is_silent(vm));
         board.other_load -= silent.map(|(_, count)| i64::from(*count)).sum::<i64>();
+        // Once a request that may run anywhere finds no place, none is left:
+        // what follows is only looked at for its timeout.
+        let mut exhausted = false;
         for slot in self.queue.slots() {
             let Some(waiting) = self.queue.get(slot) else { continue };
-            let avoid = self.copies.avoid(&waiting.ask, &targets);
-            let choice = board.choose(&want(at, view, pool, waiting, &avoid));
+            let choice = if exhausted {
+                Choice::WaitForAny
+            } else {
+                let avoid = self.copies.avoid(&waiting.ask, &targets);
+                let choice = board.choose(&want(at, view, pool, waiting, &avoid));
+                let anywhere = avoid.is_empty() && !waiting.ask.overnight;
+                exhausted = choice == Choice::WaitForAny && anywhere;
+                choice
+            };
             let waited = at.since(waiting.since);
             let place = match choice {
                 Choice::Seat(seat, why) => {
--- a/crates/control/src/place/duty.rs
+++ b/crates/control/src/place/duty.rs
@@ -125,7 +125,8 @@
         ctx.at.since(last) < TRUST && !self.is_doubted(ctx.at, &told.vm)
     }
 
-    fn is_doubted(&self, at: Moment, vm: &VmId) -> bool {
+    /// Whether a VM is passed over because it did not answer.
+    pub fn is_doubted(&self, at: Moment, vm: &VmId) -> bool {
         self.doubted.get(vm).is_some_and(|&until| at < until)
     }
 
--- a/crates/control/src/place/entry.rs
+++ b/crates/control/src/place/entry.rs
@@ -119,10 +119,12 @@
         due.map(|(vm, batch)| (vm, batch.requests)).collect()
     }
 
-    /// Requests whose ask was not answered in time.
-    pub fn overdue(&self, at: Moment) -> Vec<RequestId> {
+    /// Requests whose ask was not answered in time. One that waits in the
+    /// queue of a VM that is lost by now need not wait for its own timeout.
+    pub fn overdue(&self, at: Moment, is_lost: impl Fn(&VmId) -> bool) -> Vec<RequestId> {
         let overdue = self.asked.iter().filter(|(_, asked)| {
-            let timeout = if asked.queued { QUEUE_TIMEOUT } else { ASK_TIMEOUT };
+            let waits = asked.queued && !is_lost(&asked.to);
+            let timeout = if waits { QUEUE_TIMEOUT } else { ASK_TIMEOUT };
             timeout <= at.since(asked.sent_at)
         });
         overdue.map(|(request, _)| *request).collect()
--- a/crates/control/src/place/mod.rs
+++ b/crates/control/src/place/mod.rs
@@ -152,7 +152,8 @@
     /// what is held.
     pub fn tick(&mut self, ctx: &Context<'_>, view: View<'_>, out: &mut Output) {
         self.wake(ctx, view, out);
-        for request in self.entry.overdue(ctx.at) {
+        let duty = &self.duty;
+        for request in self.entry.overdue(ctx.at, |vm| duty.is_doubted(ctx.at, vm)) {
             self.ask_again(ctx, view, request, out);
         }
         for (vm, requests) in self.entry.due_releases(ctx.at) {
