Merge branch 'main' into routing

Conflict in admit.rs: the copies' hold-back and the early end of a pass over a full queue, both kept. place tests and benches/decision.rs follow the new interface of targets and members.

--- a/benches/decision.rs
+++ b/benches/decision.rs
@@ -53,7 +53,7 @@
         standing: Standing::Live,
     });
     let rows: Vec<_> = rows.collect();
-    targets.list(&rows);
+    targets.list(ctx, &rows, &mut Output::default());
     for index in 0..count {
         let id = format!("e-{index}").parse().expect("an id");
         let report = Report { start: Start(1), ..Report::default() };
--- a/crates/control/src/place/admit.rs
+++ b/crates/control/src/place/admit.rs
@@ -294,10 +294,12 @@
         let mut exhausted = false;
         for slot in self.queue.slots() {
             let Some(waiting) = self.queue.get(slot) else { continue };
+            let mut held_back = false;
             let choice = if exhausted {
                 Choice::WaitForAny
             } else {
-                let avoid = self.copies.avoid(&waiting.ask, &targets);
+                let avoid = self.copies.avoid(at, &waiting.ask, &targets);
+                held_back = waiting.ask.avoid.len() < avoid.len();
                 let choice = board.choose(&want(at, view, pool, waiting, &avoid));
                 let anywhere = avoid.is_empty() && !waiting.ask.overnight;
                 exhausted = choice == Choice::WaitForAny && anywhere;
@@ -314,7 +316,7 @@
                     board.take(seat, waiting.ask.overnight);
                     Ok(target)
                 }
-                Choice::Empty => Err(Denial::Empty),
+                Choice::Empty if !held_back => Err(Denial::Empty),
                 _ if Span::from_millis(pool.queue_wait_ms) <= waited => Err(Denial::Full),
                 _ => continue,
             };
@@ -407,7 +409,7 @@
 
     fn count(&mut self, request: RequestId, place: Place) {
         if let Some(chat) = &place.chat {
-            self.copies.add(chat.clone(), place.target.clone());
+            self.copies.add(place.at, chat.clone(), place.target.clone());
         }
         let count = self.counts.entry(place.target.clone()).or_default();
         count.load += 1;
--- a/crates/control/src/signal.rs
+++ b/crates/control/src/signal.rs
@@ -5,7 +5,7 @@
 use briarshift_wire::place::Ask;
 use briarshift_wire::poison::Trial;
 
-use crate::{booking, place, poison, usage};
+use crate::{booking, member, place, poison, usage};
 
 /// Sent by one concern, carried to another by [`crate::State`] before the
 /// next event.
@@ -47,4 +47,8 @@
     Use(usage::Sample),
     /// An attempt was sent to a pool's target.
     Sent(PoolId),
+    /// A message of gossip is due.
+    Round(member::Round),
+    /// Something should reach the peers before the next round.
+    News,
 }
--- a/crates/control/tests/all/order/fleet.rs
+++ b/crates/control/tests/all/order/fleet.rs
@@ -184,6 +184,7 @@
             queued: Span::ZERO,
             booked: false,
             refused: false,
+            came_back: Default::default(),
         };
         for vm in &mut self.vms {
             let ctx = Context { at: self.now, wall: WallTime(0), entropy: 0, me: &vm.me };
@@ -346,20 +347,16 @@
 }
 
 fn vm(number: usize, rows: &[Listed]) -> Vm {
+    let me = Identity {
+        vm: format!("v{number}").parse().unwrap(),
+        start: Start(1),
+        data_centre: "d".parse().unwrap(),
+        address: address(),
+        environment: "test".into(),
+        token_key: [0; 32],
+    };
+    let ctx = Context { at: Moment(0), wall: WallTime(0), entropy: 0, me: &me };
     let mut targets = target::State::default();
-    targets.list(rows);
-    Vm {
-        me: Identity {
-            vm: format!("v{number}").parse().unwrap(),
-            start: Start(1),
-            data_centre: "d".parse().unwrap(),
-            address: address(),
-            environment: "test".into(),
-            token_key: [0; 32],
-        },
-        state: State::default(),
-        targets,
-        paused_until: Moment(0),
-        inbox: Vec::new(),
-    }
+    targets.list(&ctx, rows, &mut Output::default());
+    Vm { me, state: State::default(), targets, paused_until: Moment(0), inbox: Vec::new() }
 }
--- a/crates/control/tests/all/place.rs
+++ b/crates/control/tests/all/place.rs
@@ -10,6 +10,7 @@
 use briarshift_target::{Change, ChangeKind, Report};
 use briarshift_units::{ChatKey, Moment, RequestId, Span, Start, TargetId, VmId, WallTime};
 use briarshift_wire::Message;
+use briarshift_wire::gossip::{self, Health, Member};
 use briarshift_wire::place::{Ask, Denial};
 use proptest::prelude::*;
 
@@ -109,11 +110,22 @@
         };
         let role = || Role::Target { pool: id("pool", 1) };
         let targets: Vec<_> = (0..RUNNERS).map(|i| listed(id("r", i), role())).collect();
-        let peers: Vec<_> = (0..count).map(|i| listed(id("vm", i), Role::Entry)).collect();
+        let peers = (0..count).map(|index| Member {
+            vm: id("vm", index),
+            data_centre: id("dc", 1),
+            address: address(),
+            start: Start(1),
+            version: 0,
+            health: Health::Alive,
+        });
+        let peers: Vec<_> = peers.collect();
         for vm in &mut fleet.vms {
             let ctx = Context { at: fleet.at, wall: WallTime(0), entropy: 0, me: &vm.me };
-            vm.members.list(&ctx, &peers);
-            vm.targets.list(&targets);
+            let mut out = Output::default();
+            let others = peers.iter().filter(|member| member.vm != ctx.me.vm).cloned();
+            let message = gossip::Message { members: others.collect(), ..Default::default() };
+            vm.members.gossip(&ctx, &message.members[0].vm, &message, &mut out);
+            vm.targets.list(&ctx, &targets, &mut out);
             for index in 0..RUNNERS {
                 let report = Report { start: Start(1), ..Report::default() };
                 vm.targets.load(&ctx, &id("r", index), Ok(report), &mut Output::default());
