--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -5,5 +5,6 @@
 mod order;
 mod path;
 mod refusal;
+mod resume;
 mod shutdown;
 mod usage;
