--- a/crates/control/tests/all/main.rs
+++ b/crates/control/tests/all/main.rs
@@ -1,5 +1,13 @@
-//! Tests of the control reducer's concerns.
+//! Tests of the control reducer and its concerns.
 
+mod booking;
 mod document;
+mod member;
+mod member_fleet;
 mod order;
+mod poison;
+mod request;
+mod retry;
+mod target;
 mod usage;
+mod world;
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -9,4 +9,5 @@
 pub mod bucket;
 pub mod queue;
 pub mod rank;
+pub mod retry;
 pub mod token;
