Add the config subcommands

check, schema, put, trial, promote, show, diff, history and in-force, thin over briarshift-environment and briarshift-settings.

--- a/crates/environment/src/key.rs
+++ b/crates/environment/src/key.rs
@@ -67,6 +67,13 @@
     }
 }
 
+/// The environment that callers are served from, `production`.
+impl Default for Environment {
+    fn default() -> Self {
+        Self(SmolStr::new_static("production"))
+    }
+}
+
 impl fmt::Display for Environment {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(&self.0)
--- a/src/bin/briarshift.rs
+++ b/src/bin/briarshift.rs
@@ -4,7 +4,7 @@
 use std::process::ExitCode;
 
 use actix_rt::System;
-use briarshift::commands::{demo, drain, keys, serve, status, usage};
+use briarshift::commands::{config, demo, drain, keys, serve, status, usage};
 use gumdrop::Options;
 
 /// Command line.
@@ -22,6 +22,8 @@
     Serve(serve::Options),
     /// run a whole fleet on loopback and print what came of it
     Demo(demo::Options),
+    /// check, put and promote environment documents
+    Config(config::Options),
     /// show what VMs report of themselves
     Status(status::Options),
     /// tell a VM to take no new requests
@@ -58,6 +60,7 @@
     match command {
         Command::Serve(options) => serve::run(options),
         Command::Demo(options) => System::new().block_on(demo::run(options)),
+        Command::Config(options) => System::new().block_on(config::run(options)),
         Command::Status(options) => System::new().block_on(status::run(options)),
         Command::Drain(options) => System::new().block_on(drain::run(options)),
         Command::Usage(options) => System::new().block_on(usage::run(options)),
--- /dev/null
+++ b/src/commands/config.rs
@@ -0,0 +1,341 @@
+//! `briarshift config`: checks, puts and promotes environment documents.
+//!
+//! Thin over [`briarshift_environment`], which does the work, and
+//! [`briarshift_settings`], which does the checks.
+
+use std::path::{Path, PathBuf};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use anyhow::{Context, bail};
+use briarshift_environment::{Accepted, Change, Clock, Environment, Operator, Report, Source};
+use briarshift_platform::http::Client;
+use briarshift_settings::{Document, Process};
+use briarshift_units::{Revision, Span, WallTime};
+use futures::future::{FutureExt, LocalBoxFuture};
+use gumdrop::Options as Arguments;
+
+/// How long a call to the platform may take.
+const TIMEOUT: Span = Span::from_secs(5);
+/// The environment in which documents are tested.
+const TRIAL: &str = "trial";
+
+/// Arguments of `config`.
+#[derive(Debug, Arguments)]
+pub struct Options {
+    /// print this help
+    pub help: bool,
+    /// what to do
+    #[options(command)]
+    pub command: Option<Command>,
+}
+
+/// What to do.
+#[derive(Debug, Arguments)]
+pub enum Command {
+    /// report all faults of a document
+    Check(Check),
+    /// print the JSON schema of documents or process settings
+    Schema(Schema),
+    /// put a document into an environment
+    Put(Put),
+    /// put a document into the trial environment
+    Trial(Trial),
+    /// put what is in force in one environment into another
+    Promote(Promote),
+    /// print a document of an environment
+    Show(Show),
+    /// compare a file or a revision with what an environment has
+    Diff(Diff),
+    /// list an environment's changes, the newest first
+    History(Target),
+    /// show what each data centre's VMs run
+    InForce(Target),
+}
+
+/// Arguments of `config check`.
+#[derive(Debug, Arguments)]
+pub struct Check {
+    /// print this help
+    pub help: bool,
+    /// the file holds process settings, not a document
+    pub process: bool,
+    /// the file
+    #[options(free, required)]
+    pub file: PathBuf,
+}
+
+/// Arguments of `config schema`.
+#[derive(Debug, Arguments)]
+pub struct Schema {
+    /// print this help
+    pub help: bool,
+    /// document (the default) or process
+    #[options(free)]
+    pub kind: Option<String>,
+}
+
+/// Arguments of `config put`.
+#[derive(Debug, Arguments)]
+pub struct Put {
+    /// print this help
+    pub help: bool,
+    /// the environment
+    #[options(required, no_short, meta = "E")]
+    pub environment: Environment,
+    /// base URL of the platform's service
+    #[options(required, no_short, meta = "URL")]
+    pub platform: String,
+    /// the revision to be replaced, 0 for the first document
+    #[options(required, no_short, meta = "REV")]
+    pub replaces: Revision,
+    /// the document
+    #[options(free, required)]
+    pub file: PathBuf,
+}
+
+/// Arguments of `config trial`.
+#[derive(Debug, Arguments)]
+pub struct Trial {
+    /// print this help
+    pub help: bool,
+    /// base URL of the platform's service
+    #[options(required, no_short, meta = "URL")]
+    pub platform: String,
+    /// the revision to be replaced, 0 for the first document
+    #[options(required, no_short, meta = "REV")]
+    pub replaces: Revision,
+    /// the document
+    #[options(free, required)]
+    pub file: PathBuf,
+}
+
+/// Arguments of `config promote`.
+#[derive(Debug, Arguments)]
+pub struct Promote {
+    /// print this help
+    pub help: bool,
+    /// the environment that proved the document
+    #[options(required, no_short, meta = "E")]
+    pub from: Environment,
+    /// the environment that gets it
+    #[options(required, no_short, meta = "E")]
+    pub to: Environment,
+    /// base URL of the platform's service
+    #[options(required, no_short, meta = "URL")]
+    pub platform: String,
+    /// the revision to be replaced, 0 for the first document
+    #[options(required, no_short, meta = "REV")]
+    pub replaces: Revision,
+}
+
+/// Arguments of `config show`.
+#[derive(Debug, Arguments)]
+pub struct Show {
+    /// print this help
+    pub help: bool,
+    /// the environment
+    #[options(required, no_short, meta = "E")]
+    pub environment: Environment,
+    /// base URL of the platform's service
+    #[options(required, no_short, meta = "URL")]
+    pub platform: String,
+    /// an earlier revision, as long as it is kept
+    #[options(no_short, meta = "REV")]
+    pub revision: Option<Revision>,
+}
+
+/// Arguments of `config diff`.
+#[derive(Debug, Arguments)]
+pub struct Diff {
+    /// print this help
+    pub help: bool,
+    /// the environment
+    #[options(required, no_short, meta = "E")]
+    pub environment: Environment,
+    /// base URL of the platform's service
+    #[options(required, no_short, meta = "URL")]
+    pub platform: String,
+    /// compare with this earlier revision
+    #[options(no_short, meta = "REV")]
+    pub revision: Option<Revision>,
+    /// compare with this other environment
+    #[options(no_short, meta = "E")]
+    pub with: Option<Environment>,
+}
+
+/// Arguments of `config history` and `config in-force`.
+#[derive(Debug, Arguments)]
+pub struct Target {
+    /// print this help
+    pub help: bool,
+    /// the environment
+    #[options(required, no_short, meta = "E")]
+    pub environment: Environment,
+    /// base URL of the platform's service
+    #[options(required, no_short, meta = "URL")]
+    pub platform: String,
+}
+
+/// Carries out one subcommand.
+///
+/// # Errors
+///
+/// Any fault of the file, conflict or failure; the message names the remedy.
+pub async fn run(options: &Options) -> anyhow::Result<()> {
+    let Some(command) = &options.command else {
+        bail!("name a subcommand:\n{}", Options::command_list().unwrap_or_default());
+    };
+    match command {
+        Command::Check(options) => check(options),
+        Command::Schema(options) => schema(options),
+        Command::Put(options) => {
+            put(&options.platform, &options.environment, options.replaces, &options.file).await
+        }
+        Command::Trial(options) => {
+            let environment = TRIAL.parse()?;
+            put(&options.platform, &environment, options.replaces, &options.file).await
+        }
+        Command::Promote(options) => promote(options).await,
+        Command::Show(options) => show(options).await,
+        Command::Diff(options) => diff(options).await,
+        Command::History(options) => history(options).await,
+        Command::InForce(options) => in_force(options).await,
+    }
+}
+
+fn check(options: &Check) -> anyhow::Result<()> {
+    let bytes = read(&options.file)?;
+    let faults = match options.process {
+        true => Process::parse(&bytes).err(),
+        false => Document::parse(&bytes).err(),
+    };
+    let name = options.file.display();
+    if let Some(faults) = faults {
+        bail!("{name} has {} faults:\n{faults}", faults.count());
+    }
+    println!("{name}: no fault, digest {}", Document::digest(&bytes));
+    Ok(())
+}
+
+fn schema(options: &Schema) -> anyhow::Result<()> {
+    let schema = match options.kind.as_deref() {
+        None | Some("document") => Document::schema(),
+        Some("process") => Process::schema(),
+        Some(other) => bail!("{other:?} has no schema: name \"document\" or \"process\""),
+    };
+    println!("{}", serde_json::to_string_pretty(&schema)?);
+    Ok(())
+}
+
+async fn put(
+    platform: &str,
+    environment: &Environment,
+    replaces: Revision,
+    file: &Path,
+) -> anyhow::Result<()> {
+    let text = String::from_utf8(read(file)?).context("the file is not UTF-8: save it so")?;
+    let client = client(platform);
+    let accepted = operator(&client).put(environment, replaces, &text).await?;
+    accept(environment, &accepted);
+    Ok(())
+}
+
+async fn promote(options: &Promote) -> anyhow::Result<()> {
+    let client = client(&options.platform);
+    let operator = operator(&client);
+    let accepted = operator.promote(&options.from, &options.to, options.replaces).await?;
+    accept(&options.to, &accepted);
+    Ok(())
+}
+
+fn accept(environment: &Environment, accepted: &Accepted) {
+    println!("{environment}: {}", line(&accepted.change));
+    if !accepted.recorded {
+        eprintln!("warning: the change is in force, but the history does not name it");
+    }
+}
+
+async fn show(options: &Show) -> anyhow::Result<()> {
+    let client = client(&options.platform);
+    let operator = operator(&client);
+    let stored = match options.revision {
+        None => operator.show(&options.environment).await?,
+        Some(revision) => operator.show_revision(&options.environment, revision).await?,
+    };
+    eprintln!("revision={} digest={}", stored.revision, stored.digest());
+    print!("{}", stored.text);
+    Ok(())
+}
+
+async fn diff(options: &Diff) -> anyhow::Result<()> {
+    let client = client(&options.platform);
+    let operator = operator(&client);
+    let new = operator.show(&options.environment).await?;
+    let old = match (options.revision, &options.with) {
+        (Some(revision), _) => operator.show_revision(&options.environment, revision).await?,
+        (None, Some(other)) => operator.show(other).await?,
+        (None, None) => bail!("name what to compare with: --revision REV or --with E"),
+    };
+    print!("{}", Operator::diff(&old, &new));
+    Ok(())
+}
+
+async fn history(options: &Target) -> anyhow::Result<()> {
+    let client = client(&options.platform);
+    for change in operator(&client).history(&options.environment).await? {
+        println!("{}", line(&change));
+    }
+    Ok(())
+}
+
+async fn in_force(options: &Target) -> anyhow::Result<()> {
+    let client = client(&options.platform);
+    for report in operator(&client).reports(&options.environment).await? {
+        let Report { data_centre, revision, digest, live, in_force, at, .. } = report;
+        println!(
+            "data_centre={data_centre} revision={revision} in_force={in_force} live={live} \
+             digest={digest} at={at}"
+        );
+    }
+    Ok(())
+}
+
+fn line(change: &Change) -> String {
+    let Change { revision, digest, replaced, author, at, source } = change;
+    let replaced = replaced.as_ref().map_or(Revision(0), |replaced| replaced.revision);
+    let source = match source {
+        Source::File => "file".to_owned(),
+        Source::Promotion { from, revision } => format!("{from}@{revision}"),
+    };
+    format!(
+        "revision={revision} replaced={replaced} author={author} at={at} source={source} \
+         digest={digest}"
+    )
+}
+
+fn read(file: &Path) -> anyhow::Result<Vec<u8>> {
+    std::fs::read(file).with_context(|| format!("can't read {}", file.display()))
+}
+
+fn client(platform: &str) -> Client {
+    Client::new(platform, TIMEOUT)
+}
+
+fn operator(client: &Client) -> Operator<'_> {
+    let author = std::env::var("USER").unwrap_or_else(|_| "unknown".to_owned());
+    Operator::new(client, &System, &author)
+}
+
+/// The system's clock.
+struct System;
+
+impl Clock for System {
+    fn now(&self) -> WallTime {
+        let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        WallTime(u64::try_from(since.as_millis()).unwrap_or(u64::MAX))
+    }
+
+    fn pause(&self, span: Span) -> LocalBoxFuture<'_, ()> {
+        actix_rt::time::sleep(Duration::from(span)).boxed_local()
+    }
+}
--- a/src/commands/mod.rs
+++ b/src/commands/mod.rs
@@ -1,5 +1,6 @@
 //! Subcommands, a file each.
 
+pub mod config;
 pub mod demo;
 pub mod drain;
 pub mod keys;
