Take a change through processes, and end the handover of starting VMs

Cause: no test took a change from an operator to VMs as processes. Writing one showed that a VM that had just started went on watching for 3 s as if it had a watch to hand over: a fleet that starts at once would hold a watch a VM.

Change: only a VM that replaces a document hands over. The test waits 3 s, the length of a first watch, since before that each VM reads by itself: without the wait it passed with the peers' answers cut.

Shown failing: with Want unanswered for a VM that has a document, 'waited in vain until every VM runs the change'.

--- a/crates/control/src/document/mod.rs
+++ b/crates/control/src/document/mod.rs
@@ -158,7 +158,10 @@
                 if !self.is_newer(revision) {
                     return;
                 }
-                self.watch.read(ctx.at);
+                // A VM that starts has no watch to hand over.
+                if self.held.is_some() {
+                    self.watch.read(ctx.at);
+                }
                 let bytes = entry.value.into_bytes();
                 let head = Head { revision, digest: Document::digest(&bytes) };
                 self.accept(head, bytes, None, "store", out);
@@ -281,15 +284,6 @@
     }
 }
 
-/// Names the head in force in each round of gossip that leaves.
-pub(crate) fn fill(head: Option<Head>, effects: &mut [Effect]) {
-    for effect in effects {
-        if let Effect::Send { message: briarshift_wire::Message::Gossip(round), .. } = effect {
-            round.document = head;
-        }
-    }
-}
-
 fn send(peers: &dyn Peers, to: &VmId, message: Message, out: &mut Output) {
     let Some(address) = peers.address(to) else { return };
     let message = briarshift_wire::Message::Document(message);
--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -111,7 +111,6 @@
             self.drained = true;
             out.push(Effect::Drained);
         }
-        document::fill(self.document.in_force(), &mut out.effects);
         out.effects
     }
 
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -1,6 +1,7 @@
 //! Integration tests: entry VMs as processes on loopback, with the stand-ins
 //! around them.
 
+mod config;
 mod fleet;
 mod path;
 mod refusal;
