--- a/crates/daemon/src/metric.rs
+++ b/crates/daemon/src/metric.rs
@@ -123,6 +123,9 @@
             out.observe(peers.udp_sent, &[]);
         },
     );
+    counter("briarshift_peer_over_budget_bytes", "Place bytes beyond the budget", |peers, out| {
+        out.observe(peers.over_budget, &[]);
+    });
     counter("briarshift_peer_dropped_frames", "Frames dropped at this end", |peers, out| {
         for reason in Drop::ALL {
             out.observe(peers.dropped(reason), &[KeyValue::new("reason", reason.label())]);
--- a/crates/peer/src/table.rs
+++ b/crates/peer/src/table.rs
@@ -164,7 +164,7 @@
         let mut wait: Option<Span> = None;
         for class in Class::ALL {
             let Some(batch) = peer.queue.batch(class) else { continue };
-            match budget.take(now, class, batch.bytes + OVERHEAD) {
+            match budget.take(now, class, batch.bytes + OVERHEAD, now.since(batch.at)) {
                 Verdict::Go => {
                     peer.silent_since.get_or_insert(now);
                     return peer.queue.pop_batch(class, batch).map_or(Next::Idle, Next::Send);
@@ -198,6 +198,7 @@
     pub(crate) fn snapshot(&self) -> Snapshot {
         let inner = self.lock();
         let mut snapshot = self.counters.read();
+        snapshot.over_budget = inner.budget.excess();
         snapshot.connections = inner.open.len() as u64;
         snapshot.udp_sent = inner.closed_sent;
         snapshot.udp_received = inner.closed_received;
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -3,6 +3,7 @@
 
 mod config;
 mod fleet;
+mod order;
 mod path;
 mod refusal;
 mod shutdown;
