--- a/crates/peer/src/counters.rs
+++ b/crates/peer/src/counters.rs
@@ -52,6 +52,8 @@
     received: [Flow; Kind::ALL.len()],
     dropped: [u64; Drop::ALL.len()],
     refused: [u64; Refusal::ALL.len()],
+    /// Bytes of place messages sent beyond the budget.
+    pub over_budget: u64,
     /// Connections open now.
     pub connections: u64,
     /// Handshakes that ended in a connection, ours and theirs.
