--- a/benches/policy/main.rs
+++ b/benches/policy/main.rs
@@ -2,8 +2,8 @@
 //!
 //! `cargo bench --bench policy` prints a table; `-- --json` one JSON line for
 //! each scenario, policy and seed. `-- NAME...` runs only scenarios and
-//! policies whose names are given; `-- --trace` prints each decision of one
-//! run. Time is virtual: the placement reducers of N VMs are fed by a loop.
+//! policies whose names are given, `-- --seed=N` only one seed; `-- --trace` prints
+//! each decision of one run. Time is virtual: the placement reducers of N VMs are fed by a loop.
 
 mod baseline;
 mod document;
@@ -53,6 +53,8 @@
         !some || has(name)
     };
     let trace = has("--trace");
+    let mut named_seeds = args.iter().filter_map(|arg| arg.strip_prefix("--seed=")?.parse().ok());
+    let one: Option<u64> = named_seeds.next().or(trace.then_some(SEEDS[0]));
     let scenario_names = scenario::ALL.map(|scenario| scenario.name);
     let policy_names = POLICIES.map(|(name, _)| name);
     let mut rows = Vec::new();
@@ -61,8 +63,8 @@
     }
     for scenario in scenario::ALL.iter().filter(|row| named(&scenario_names, row.name)) {
         for (_, make) in POLICIES.iter().filter(|(name, _)| named(&policy_names, name)) {
-            let seeds = if trace { &SEEDS[..1] } else { &SEEDS[..] };
-            let done = run(scenario, *make, seeds, trace);
+            let seeds = SEEDS.into_iter().filter(|seed| one.is_none_or(|one| one == *seed));
+            let done = run(scenario, *make, &seeds.collect::<Vec<_>>(), trace);
             if has("--json") {
                 for row in &done {
                     println!("{}", serde_json::to_string(row).expect("rows are plain"));
--- a/crates/control/src/place/admit.rs
+++ b/crates/control/src/place/admit.rs
@@ -362,13 +362,15 @@
             let Some(target) = target else { continue };
             let Count { load, overnight } = self.counts.get(id).copied().unwrap_or_default();
             let open = target.takes_work();
+            let expected = !open && roster.is_expected(id);
             if !open && !vouched.contains(id) {
                 // It may only seem dead and still run what it was given; a
                 // dead one's requests break off and are released at once.
-                hidden += i64::from(load);
+                // Its load counts for the mean only while it does itself.
+                hidden += i64::from(load) * i64::from(expected);
                 continue;
             }
-            unsure += u32::from(!open);
+            unsure += u32::from(expected);
             let load = load + self.untold(id);
             seats.push(Seat { target: id, start: target.start(), load, overnight, open });
         }
--- a/crates/control/src/place/roster.rs
+++ b/crates/control/src/place/roster.rs
@@ -91,11 +91,17 @@
             let since = absent.get(&target.id).copied().unwrap_or(at);
             self.absent.insert(target.id.clone(), since);
         }
-        let cut = pools.into_iter().map(|(id, targets)| (id.clone(), self.cut(at, &targets)));
+        let cut = pools.into_iter().map(|(id, targets)| (id.clone(), self.cut(&targets)));
         self.pools = cut.collect();
     }
 
-    fn cut(&self, at: Moment, targets: &[&Target]) -> Pool {
+    /// Whether a target that takes no work counts for the mean.
+    pub fn is_expected(&self, target: &TargetId) -> bool {
+        let at = self.at.unwrap_or_default();
+        self.absent.get(target).is_some_and(|&since| at.since(since) < EXPECTED)
+    }
+
+    fn cut(&self, targets: &[&Target]) -> Pool {
         let count = targets.len().div_ceil(SLICE_MAX).next_power_of_two();
         let mut pool = Pool::default();
         pool.parts.resize_with(count, Part::default);
@@ -107,8 +113,7 @@
                 let report = target.report.as_ref();
                 part.load += report.map_or(0.0, |report| f64::from(report.running));
             } else if target.leaving.is_none() {
-                let since = self.absent.get(&target.id).copied().unwrap_or_default();
-                pool.expected += u32::from(at.since(since) < EXPECTED);
+                pool.expected += u32::from(self.is_expected(&target.id));
             }
         }
         pool
