Count targets that report but are kept out of use

Cause: a damped target is up and loses load as it gets none, so the engines' own mean falls while the admitting VM leaves it out after 10 s.

--- a/crates/control/src/place/roster.rs
+++ b/crates/control/src/place/roster.rs
@@ -22,6 +22,8 @@
 /// How long a listed target that takes no work yet, or no more, still counts
 /// for the mean: whoever places must not be surprised when it joins.
 const EXPECTED: Span = Span::from_secs(10);
+/// A target whose last report is younger is up, whether it takes work or not.
+const REPORTING: Span = Span::from_secs(3);
 /// What the load of other slices is taken for, as a share of what is
 /// reported: reports lag.
 const REPORTED_SHARE: f64 = 0.97;
@@ -88,7 +90,9 @@
         }
         let absent = std::mem::take(&mut self.absent);
         for target in pools.values().flatten().filter(|target| !target.takes_work()) {
-            let since = absent.get(&target.id).copied().unwrap_or(at);
+            // One that still reports is up: it may only be kept out of use here.
+            let reports = target.report.is_some() && at.since(target.reported_at) < REPORTING;
+            let since = absent.get(&target.id).copied().filter(|_| !reports).unwrap_or(at);
             self.absent.insert(target.id.clone(), since);
         }
         let cut = pools.into_iter().map(|(id, targets)| (id.clone(), self.cut(&targets)));
