--- a/crates/control/tests/all/place.rs
+++ b/crates/control/tests/all/place.rs
@@ -20,6 +20,8 @@
 const RUNNERS: usize = 3;
 /// Burst of the account.
 const BURST: u32 = 40;
+/// Messages within one tick that only a loop can cause.
+const STORM: u32 = 2_000;
 /// Time between two ticks.
 const TICK: Span = Span::from_millis(5);
 
@@ -36,6 +38,22 @@
     Listed { vm, role, data_centre, address: address(), standing: Standing::Live }
 }
 
+/// Makes other VMs live members, as their gossip would.
+fn introduce(members: &mut member::State, ctx: &Context<'_>, vms: &[VmId]) {
+    let others = vms.iter().filter(|vm| **vm != ctx.me.vm).map(|vm| Member {
+        vm: vm.clone(),
+        data_centre: ctx.me.data_centre.clone(),
+        address: address(),
+        start: Start(1),
+        version: 0,
+        health: Health::Alive,
+    });
+    let message = gossip::Message { members: others.collect(), ..Default::default() };
+    if let Some(first) = message.members.first().map(|member| member.vm.clone()) {
+        members.gossip(ctx, &first, &message, &mut Output::default());
+    }
+}
+
 fn document() -> Document {
     let runner = Runner {
         concurrency: CONCURRENCY,
@@ -110,22 +128,11 @@
         };
         let role = || Role::Target { pool: id("pool", 1) };
         let targets: Vec<_> = (0..RUNNERS).map(|i| listed(id("r", i), role())).collect();
-        let peers = (0..count).map(|index| Member {
-            vm: id("vm", index),
-            data_centre: id("dc", 1),
-            address: address(),
-            start: Start(1),
-            version: 0,
-            health: Health::Alive,
-        });
-        let peers: Vec<_> = peers.collect();
+        let peers: Vec<_> = (0..count).map(|i| id("vm", i)).collect();
         for vm in &mut fleet.vms {
             let ctx = Context { at: fleet.at, wall: WallTime(0), entropy: 0, me: &vm.me };
-            let mut out = Output::default();
-            let others = peers.iter().filter(|member| member.vm != ctx.me.vm).cloned();
-            let message = gossip::Message { members: others.collect(), ..Default::default() };
-            vm.members.gossip(&ctx, &message.members[0].vm, &message, &mut out);
-            vm.targets.list(&ctx, &targets, &mut out);
+            introduce(&mut vm.members, &ctx, &peers);
+            vm.targets.list(&ctx, &targets, &mut Output::default());
             for index in 0..RUNNERS {
                 let report = Report { start: Start(1), ..Report::default() };
                 vm.targets.load(&ctx, &id("r", index), Ok(report), &mut Output::default());
@@ -207,7 +214,11 @@
     /// Delivers all mail and lets time pass; ends what runs.
     fn settle(&mut self) {
         for _ in 0..800 {
-            while !self.mail.is_empty() {
+            for delivered in 0.. {
+                if self.mail.is_empty() {
+                    break;
+                }
+                assert!(delivered < STORM, "messages lead to messages without end");
                 self.deliver(0);
                 self.check_bound();
             }
@@ -216,6 +227,17 @@
         }
     }
 
+    /// Takes a VM out of another's list of members.
+    fn hide(&mut self, from: usize, hidden: usize) {
+        let count = self.vms.len();
+        let vm = &mut self.vms[from];
+        let ctx = Context { at: self.at, wall: WallTime(0), entropy: 0, me: &vm.me };
+        let others: Vec<_> =
+            (0..count).filter(|index| *index != hidden).map(|index| id("vm", index)).collect();
+        vm.members = member::State::default();
+        introduce(&mut vm.members, &ctx, &others);
+    }
+
     fn kill(&mut self, index: usize) {
         self.vms[index].alive = false;
         self.running.retain(|_, (vm, _)| *vm != index);
@@ -304,6 +326,20 @@
     }
 }
 
+#[test]
+fn lists_that_disagree_cause_no_storm() {
+    for (from, hidden) in [(0, 1), (1, 0), (0, 2), (2, 0), (1, 2), (2, 1)] {
+        let mut fleet = Fleet::new(3);
+        fleet.hide(from, hidden);
+        for number in 0..30 {
+            fleet.ask(number as usize % 3, number);
+            fleet.deliver(0);
+        }
+        fleet.settle();
+        fleet.check_verdicts();
+    }
+}
+
 fn check_cache(changes: &[(u64, u64, ChangeKind)], evicted: &[u64]) {
     let mut state = cache::State::default();
     let target: TargetId = id("e", 1);
--- a/crates/peer/tests/all/budget.rs
+++ b/crates/peer/tests/all/budget.rs
@@ -19,7 +19,7 @@
         let (mut now, mut sent, mut documents) = (Moment(0), 0u64, 0u64);
         for (pause, class, bytes) in asks {
             now = now + Span(pause);
-            if budget.take(now, class, bytes) == Verdict::Go {
+            if budget.take(now, class, bytes, Span::ZERO) == Verdict::Go {
                 sent += bytes as u64;
                 documents += if class == Class::Document { bytes as u64 } else { 0 };
             }
@@ -34,11 +34,11 @@
     fn wait_leads_to_go(drain in prop::collection::vec((class(), 1usize..3_000), 0..50), class in class()) {
         let mut budget = Budget::new(BytesPerSecond(RATE), Moment(0));
         for (class, bytes) in drain {
-            budget.take(Moment(0), class, bytes);
+            budget.take(Moment(0), class, bytes, Span::ZERO);
         }
         let mut now = Moment(0);
         for _ in 0..200 {
-            match budget.take(now, class, 100) {
+            match budget.take(now, class, 100, now.since(Moment(0))) {
                 Verdict::Go => return Ok(()),
                 Verdict::Wait(span) => now = now + span,
             }
@@ -50,29 +50,44 @@
 #[test]
 fn gossip_leaves_room_for_places() {
     let mut budget = Budget::new(BytesPerSecond(RATE), Moment(0));
-    while budget.take(Moment(0), Class::Gossip, 100) == Verdict::Go {}
-    assert_eq!(budget.take(Moment(0), Class::Place, 500), Verdict::Go);
+    while budget.take(Moment(0), Class::Gossip, 100, Span::ZERO) == Verdict::Go {}
+    assert_eq!(budget.take(Moment(0), Class::Place, 500, Span::ZERO), Verdict::Go);
 }
 
 #[test]
 fn document_holds_up_neither_places_nor_gossip() {
     let mut budget = Budget::new(BytesPerSecond(RATE), Moment(0));
-    assert_eq!(budget.take(Moment(0), Class::Document, 1_000_000), Verdict::Go);
-    assert_eq!(budget.take(Moment(0), Class::Gossip, 100), Verdict::Go);
-    assert_eq!(budget.take(Moment(0), Class::Place, 100), Verdict::Go);
-    assert!(matches!(budget.take(Moment(0), Class::Document, 1), Verdict::Wait(_)));
+    assert_eq!(budget.take(Moment(0), Class::Document, 1_000_000, Span::ZERO), Verdict::Go);
+    assert_eq!(budget.take(Moment(0), Class::Gossip, 100, Span::ZERO), Verdict::Go);
+    assert_eq!(budget.take(Moment(0), Class::Place, 100, Span::ZERO), Verdict::Go);
+    assert!(matches!(budget.take(Moment(0), Class::Document, 1, Span::ZERO), Verdict::Wait(_)));
 }
 
 #[test]
 fn places_leave_gossip_its_share() {
     let mut budget = Budget::new(BytesPerSecond(RATE), Moment(0));
-    while budget.take(Moment(0), Class::Place, 100) == Verdict::Go {}
-    assert_eq!(budget.take(Moment(0), Class::Gossip, 200), Verdict::Go);
+    while budget.take(Moment(0), Class::Place, 100, Span::ZERO) == Verdict::Go {}
+    assert_eq!(budget.take(Moment(0), Class::Gossip, 200, Span::ZERO), Verdict::Go);
 }
 
 #[test]
 fn handshakes_hold_up_no_place() {
     let mut budget = Budget::new(BytesPerSecond(RATE), Moment(0));
     budget.charge(Moment(0), 20_000);
-    assert_eq!(budget.take(Moment(0), Class::Place, 100), Verdict::Go);
+    assert_eq!(budget.take(Moment(0), Class::Place, 100, Span::ZERO), Verdict::Go);
+}
+
+#[test]
+fn places_wait_five_milliseconds_at_most() {
+    const LIMIT: Span = Span::from_millis(5);
+    let mut budget = Budget::new(BytesPerSecond(RATE), Moment(0));
+    let wait = loop {
+        if let Verdict::Wait(wait) = budget.take(Moment(0), Class::Place, 100, Span::ZERO) {
+            break wait;
+        }
+    };
+    assert!(wait <= LIMIT, "{wait}");
+    assert_eq!(budget.excess(), 0);
+    assert_eq!(budget.take(Moment(0) + LIMIT, Class::Place, 100, LIMIT), Verdict::Go);
+    assert_eq!(budget.excess(), 100);
 }
