--- a/crates/control/src/place/duty.rs
+++ b/crates/control/src/place/duty.rs
@@ -106,6 +106,12 @@
         self.trusted.insert(key.clone(), Told { vm: peer.vm, at });
     }
 
+    /// Whether another VM said lately that it admits.
+    pub fn trusts_another(&self, ctx: &Context<'_>, key: &Key) -> bool {
+        let told = self.trusted.get(key).filter(|told| told.vm != ctx.me.vm);
+        told.is_some_and(|told| self.is_trusted(ctx, told))
+    }
+
     /// Nobody answers: decides here for a while.
     pub fn admit_alone(&mut self, at: Moment, key: &Key) {
         self.alone.insert(key.clone(), at + ALONE);
@@ -125,7 +131,8 @@
         ctx.at.since(last) < TRUST && !self.is_doubted(ctx.at, &told.vm)
     }
 
-    fn is_doubted(&self, at: Moment, vm: &VmId) -> bool {
+    /// Whether a VM is passed over because it did not answer.
+    pub fn is_doubted(&self, at: Moment, vm: &VmId) -> bool {
         self.doubted.get(vm).is_some_and(|&until| at < until)
     }
 
@@ -174,6 +181,11 @@
         let is_none = admits.is_none();
         self.hold(ctx, view, key, from, admits, out);
         if active && is_none {
+            // Believed at once, whatever the list of members says: else
+            // whoever waits here would be sent to this VM again.
+            if let Some(peer) = self.duty.peer(ctx, view, from) {
+                self.duty.trust(ctx.at, key, peer);
+            }
             self.step_down(ctx, view, key, out);
         }
     }
--- a/crates/control/tests/all/main.rs
+++ b/crates/control/tests/all/main.rs
@@ -5,6 +5,7 @@
 mod member;
 mod member_fleet;
 mod order;
+mod place;
 mod poison;
 mod request;
 mod retry;
--- a/crates/peer/src/queue.rs
+++ b/crates/peer/src/queue.rs
@@ -29,6 +29,8 @@
     pub frames: usize,
     /// Their length in bytes.
     pub bytes: usize,
+    /// When the first was queued.
+    pub at: Moment,
 }
 
 /// Frames for one peer: first in, first out within each class.
@@ -74,14 +76,14 @@
     /// those that wait behind the first, are of its kind and fit beside it.
     pub fn batch(&self, class: Class) -> Option<Batch> {
         let first = self.front(class)?;
-        let mut batch = Batch { frames: 0, bytes: 0 };
+        let mut batch = Batch { frames: 0, bytes: 0, at: first.at };
         let kind = first.kind;
         for queued in self.classes[class.index()].iter().take_while(|next| next.kind == kind) {
             let bytes = batch.bytes + queued.frame.as_bytes().len();
             if 0 < batch.frames && MAX_BATCH < bytes {
                 break;
             }
-            batch = Batch { frames: batch.frames + 1, bytes };
+            batch = Batch { frames: batch.frames + 1, bytes, ..batch };
         }
         Some(batch)
     }
--- a/crates/peer/tests/all/budget.rs
+++ b/crates/peer/tests/all/budget.rs
@@ -19,7 +19,7 @@
         let (mut now, mut sent, mut documents) = (Moment(0), 0u64, 0u64);
         for (pause, class, bytes) in asks {
             now = now + Span(pause);
-            if budget.take(now, class, bytes) == Verdict::Go {
+            if budget.take(now, class, bytes, Span::ZERO) == Verdict::Go {
                 sent += bytes as u64;
                 documents += if class == Class::Document { bytes as u64 } else { 0 };
             }
@@ -34,11 +34,11 @@
     fn wait_leads_to_go(drain in prop::collection::vec((class(), 1usize..3_000), 0..50), class in class()) {
         let mut budget = Budget::new(BytesPerSecond(RATE), Moment(0));
         for (class, bytes) in drain {
-            budget.take(Moment(0), class, bytes);
+            budget.take(Moment(0), class, bytes, Span::ZERO);
         }
         let mut now = Moment(0);
         for _ in 0..200 {
-            match budget.take(now, class, 100) {
+            match budget.take(now, class, 100, now.since(Moment(0))) {
                 Verdict::Go => return Ok(()),
                 Verdict::Wait(span) => now = now + span,
             }
@@ -50,31 +50,46 @@
 #[test]
 fn gossip_leaves_room_for_places() {
     let mut budget = Budget::new(BytesPerSecond(RATE), Moment(0));
-    while budget.take(Moment(0), Class::Gossip, 100) == Verdict::Go {}
-    assert_eq!(budget.take(Moment(0), Class::Place, 500), Verdict::Go);
+    while budget.take(Moment(0), Class::Gossip, 100, Span::ZERO) == Verdict::Go {}
+    assert_eq!(budget.take(Moment(0), Class::Place, 500, Span::ZERO), Verdict::Go);
 }
 
 #[test]
 fn document_holds_up_neither_places_nor_gossip() {
     let mut budget = Budget::new(BytesPerSecond(RATE), Moment(0));
-    assert_eq!(budget.take(Moment(0), Class::Document, 1_000_000), Verdict::Go);
-    assert_eq!(budget.take(Moment(0), Class::Gossip, 100), Verdict::Go);
-    assert_eq!(budget.take(Moment(0), Class::Place, 100), Verdict::Go);
-    assert!(matches!(budget.take(Moment(0), Class::Document, 1), Verdict::Wait(_)));
+    assert_eq!(budget.take(Moment(0), Class::Document, 1_000_000, Span::ZERO), Verdict::Go);
+    assert_eq!(budget.take(Moment(0), Class::Gossip, 100, Span::ZERO), Verdict::Go);
+    assert_eq!(budget.take(Moment(0), Class::Place, 100, Span::ZERO), Verdict::Go);
+    assert!(matches!(budget.take(Moment(0), Class::Document, 1, Span::ZERO), Verdict::Wait(_)));
 }
 
 #[test]
 fn places_leave_gossip_its_share() {
     let mut budget = Budget::new(BytesPerSecond(RATE), Moment(0));
-    while budget.take(Moment(0), Class::Place, 100) == Verdict::Go {}
-    assert_eq!(budget.take(Moment(0), Class::Gossip, 200), Verdict::Go);
+    while budget.take(Moment(0), Class::Place, 100, Span::ZERO) == Verdict::Go {}
+    assert_eq!(budget.take(Moment(0), Class::Gossip, 200, Span::ZERO), Verdict::Go);
 }
 
 #[test]
 fn handshakes_hold_up_no_place() {
     let mut budget = Budget::new(BytesPerSecond(RATE), Moment(0));
     budget.charge(Moment(0), 20_000);
-    assert_eq!(budget.take(Moment(0), Class::Place, 100), Verdict::Go);
+    assert_eq!(budget.take(Moment(0), Class::Place, 100, Span::ZERO), Verdict::Go);
+}
+
+#[test]
+fn places_wait_five_milliseconds_at_most() {
+    const LIMIT: Span = Span::from_millis(5);
+    let mut budget = Budget::new(BytesPerSecond(RATE), Moment(0));
+    let wait = loop {
+        if let Verdict::Wait(wait) = budget.take(Moment(0), Class::Place, 100, Span::ZERO) {
+            break wait;
+        }
+    };
+    assert!(wait <= LIMIT, "{wait}");
+    assert_eq!(budget.excess(), 0);
+    assert_eq!(budget.take(Moment(0) + LIMIT, Class::Place, 100, LIMIT), Verdict::Go);
+    assert_eq!(budget.excess(), 100);
 }
 
 /// Asks for 100 bytes of gossip every 20 ms, ten times gossip's own share of a
@@ -83,9 +98,10 @@
     let mut sent = 0;
     for step in 0..secs * 50 {
         let now = from + Span::from_millis(20 * step);
-        sent += if budget.take(now, Class::Gossip, 100) == Verdict::Go { 100 } else { 0 };
+        sent +=
+            if budget.take(now, Class::Gossip, 100, Span::ZERO) == Verdict::Go { 100 } else { 0 };
         if 0 < places {
-            budget.take(now, Class::Place, places);
+            budget.take(now, Class::Place, places, Span::ZERO);
         }
     }
     sent
@@ -111,7 +127,7 @@
     gossip_for(&mut budget, Moment(0), 60, 0);
     let now = Moment(60_000_000);
     let mut places = 0;
-    while budget.take(now, Class::Place, 100) == Verdict::Go {
+    while budget.take(now, Class::Place, 100, Span::ZERO) == Verdict::Go {
         places += 100;
     }
     // Three quarters of their bucket, and the overdraft of a second.
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -1,8 +1,11 @@
 //! Integration tests: entry VMs as processes on loopback, with the stand-ins
 //! around them.
 
+mod config;
 mod fleet;
+mod order;
 mod path;
 mod refusal;
+mod resume;
 mod shutdown;
 mod usage;
