Let a request wait for targets that are just starting

Cause: the process test stock_check_needs_no_key failed now and then with 503: the VM that was asked knew the runner for 22 ms, the admitting VM not yet, and it denied at once.

Ruled out: waiting in the test: callers meet the same moment at every start.

Change: a request without a live target waits up to 500 ms, unless its targets are out because it failed there.

--- a/crates/control/src/place/admit.rs
+++ b/crates/control/src/place/admit.rs
@@ -31,6 +31,8 @@
 const PROBE: Span = Span::from_millis(50);
 /// Longest wait for other VMs to tell what they hold.
 const GRACE: Span = Span::from_millis(300);
+/// How long a request waits for a first target to be known.
+const EMPTY_GRACE: Span = Span::from_millis(500);
 /// How long a place unknown to its holder is kept: its grant may be under way.
 const GRANT_AGE: Span = Span::from_secs(1);
 /// Weight of a new report in the estimate of places that nobody told of.
@@ -306,6 +308,7 @@
                 choice
             };
             let waited = at.since(waiting.since);
+            let retried = !waiting.ask.avoid.is_empty();
             let place = match choice {
                 Choice::Seat(seat, why) => {
                     let target = board.seats[seat].target.clone();
@@ -316,7 +319,10 @@
                     board.take(seat, waiting.ask.overnight);
                     Ok(target)
                 }
-                Choice::Empty if !held_back => Err(Denial::Empty),
+                // A target that is just starting may be known elsewhere first.
+                Choice::Empty if !held_back && (retried || EMPTY_GRACE <= waited) => {
+                    Err(Denial::Empty)
+                }
                 _ if Span::from_millis(pool.queue_wait_ms) <= waited => Err(Denial::Full),
                 _ => continue,
             };
--- a/crates/control/tests/all/place.rs
+++ b/crates/control/tests/all/place.rs
@@ -326,6 +326,32 @@
     }
 }
 
+/// Asks before any VM knows a target; they become known `after` that.
+fn check_unknown_targets(after: Span, wanted: bool) {
+    let mut fleet = Fleet::new(3);
+    let known: Vec<_> = fleet.vms.iter_mut().map(|vm| std::mem::take(&mut vm.targets)).collect();
+    fleet.ask(0, 1);
+    let due = fleet.at + after;
+    while fleet.at < due {
+        while !fleet.mail.is_empty() {
+            fleet.deliver(0);
+        }
+        fleet.tick();
+    }
+    for (vm, targets) in fleet.vms.iter_mut().zip(known) {
+        vm.targets = targets;
+    }
+    fleet.settle();
+    fleet.check_verdicts();
+    assert_eq!(fleet.verdicts[&RequestId(1)][0].is_ok(), wanted, "known after {after}");
+}
+
+#[test]
+fn request_waits_for_targets_that_are_just_starting() {
+    check_unknown_targets(Span::from_millis(300), true);
+    check_unknown_targets(Span::from_secs(2), false);
+}
+
 #[test]
 fn lists_that_disagree_cause_no_storm() {
     for (from, hidden) in [(0, 1), (1, 0), (0, 2), (2, 0), (1, 2), (2, 1)] {
