--- a/crates/control/src/place/admit.rs
+++ b/crates/control/src/place/admit.rs
@@ -31,6 +31,8 @@
 const PROBE: Span = Span::from_millis(50);
 /// Longest wait for other VMs to tell what they hold.
 const GRACE: Span = Span::from_millis(300);
+/// How long a request waits for a first target to be known.
+const EMPTY_GRACE: Span = Span::from_millis(500);
 /// How long a place unknown to its holder is kept: its grant may be under way.
 const GRANT_AGE: Span = Span::from_secs(1);
 /// Weight of a new report in the estimate of places that nobody told of.
@@ -306,6 +308,7 @@
                 choice
             };
             let waited = at.since(waiting.since);
+            let retried = !waiting.ask.avoid.is_empty();
             let place = match choice {
                 Choice::Seat(seat, why) => {
                     let target = board.seats[seat].target.clone();
@@ -316,7 +319,10 @@
                     board.take(seat, waiting.ask.overnight);
                     Ok(target)
                 }
-                Choice::Empty if !held_back => Err(Denial::Empty),
+                // A target that is just starting may be known elsewhere first.
+                Choice::Empty if !held_back && (retried || EMPTY_GRACE <= waited) => {
+                    Err(Denial::Empty)
+                }
                 _ if Span::from_millis(pool.queue_wait_ms) <= waited => Err(Denial::Full),
                 _ => continue,
             };
@@ -362,13 +368,15 @@
             let Some(target) = target else { continue };
             let Count { load, overnight } = self.counts.get(id).copied().unwrap_or_default();
             let open = target.takes_work();
+            let expected = !open && roster.is_expected(id);
             if !open && !vouched.contains(id) {
                 // It may only seem dead and still run what it was given; a
                 // dead one's requests break off and are released at once.
-                hidden += i64::from(load);
+                // Its load counts for the mean only while it does itself.
+                hidden += i64::from(load) * i64::from(expected);
                 continue;
             }
-            unsure += u32::from(!open);
+            unsure += u32::from(expected);
             let load = load + self.untold(id);
             seats.push(Seat { target: id, start: target.start(), load, overnight, open });
         }
