Tell a limited account how long to wait

Cause: the admitting VM knew the wait, and callers were told one second.

Change: Reason::Limit carries it. The new test an_account_over_its_limit_is_told_how_long_to_wait printed 1000000us before and passes now (a wait of 8.5 to 9.1 s is expected).

--- a/crates/control/src/request/refusal.rs
+++ b/crates/control/src/request/refusal.rs
@@ -56,9 +56,9 @@
     /// A key used before for another body.
     #[error("the Idempotency-Key was used for another body: use a new key for a new booking")]
     KeyReused,
-    /// The account is over its limit.
+    /// The account is over its limit, for this long.
     #[error("the account is over its request limit: wait as long as Retry-After says")]
-    Limit,
+    Limit(Span),
     /// No place in time.
     #[error("no target had a place in time: wait as long as Retry-After says")]
     Full,
@@ -101,7 +101,7 @@
             Self::KeyMissing => "idempotency_key_missing",
             Self::KeyInvalid(_) => "idempotency_key_invalid",
             Self::KeyReused => "idempotency_key_reused",
-            Self::Limit => "account_limit",
+            Self::Limit(_) => "account_limit",
             Self::Full => "no_place",
             Self::NoTarget => "no_target",
             Self::Poison => "poison",
@@ -121,7 +121,7 @@
             Self::KeyMissing | Self::KeyInvalid(_) => 400,
             Self::KeyReused | Self::Poison => 422,
             Self::Unsettled | Self::AnswerLost => 409,
-            Self::Limit | Self::Full => 429,
+            Self::Limit(_) | Self::Full => 429,
             Self::Target(_) => 502,
             Self::NotReady | Self::Draining | Self::NoTarget | Self::Suspect | Self::NoClaim => 503,
         }
--- a/crates/control/src/request/state.rs
+++ b/crates/control/src/request/state.rs
@@ -100,7 +100,9 @@
                 let reason = match denial {
                     Denial::Empty => Reason::NoTarget,
                     Denial::Full | Denial::NotAdmitting => Reason::Full,
-                    Denial::Limit { .. } => Reason::Limit,
+                    Denial::Limit { retry_after_ms } => {
+                        Reason::Limit(Span::from_millis(u64::from(retry_after_ms)))
+                    }
                 };
                 self.deny(id, reason, out);
             }
@@ -356,7 +358,10 @@
 fn refuse(request: RequestId, reason: Reason, outcome: Outcome, out: &mut Output) {
     let line = Record::new("refused").with("request", request).with("code", reason.code());
     out.log(line.with("outcome", outcome));
-    let retry_after = matches!(reason.status(), 409 | 429 | 503).then_some(RETRY_AFTER);
+    let retry_after = match reason {
+        Reason::Limit(wait) => Some(wait),
+        _ => matches!(reason.status(), 409 | 429 | 503).then_some(RETRY_AFTER),
+    };
     let decision = Decision::Refuse(Refusal { reason, outcome, retry_after });
     out.push(Effect::Decide { request, decision });
 }
--- a/crates/control/tests/all/request.rs
+++ b/crates/control/tests/all/request.rs
@@ -2,7 +2,7 @@
 
 use briarshift_control::request::{Outcome, Reason};
 use briarshift_target::Attempt;
-use briarshift_units::RequestId;
+use briarshift_units::{RequestId, Span};
 
 use crate::world::{Faults, Told, World, answer, chat, desk};
 
@@ -70,3 +70,18 @@
     check(desk(1, 0, "GET", "stock", None, "body"), 33, &[]);
     check(chat(1, 0, "body"), 3_600, &[attempt(1, 1)]);
 }
+
+#[test]
+fn an_account_over_its_limit_is_told_how_long_to_wait() {
+    let mut world = World::new(2, 0, 4, 1, Faults::default());
+    world.send(0, chat(1, 2, "one"));
+    world.run(1_000);
+    world.send(1, chat(2, 2, "two"));
+    world.run(1_000);
+    assert!(matches!(world.told[&RequestId(1)], Told::Whole(_)));
+    let Some(Told::Refused(refusal)) = world.told.get(&RequestId(2)) else { panic!() };
+    assert_eq!(refusal.outcome, Outcome::NotRun);
+    let wait = refusal.retry_after.unwrap();
+    let (least, most) = (Span::from_millis(8_500), Span::from_millis(9_100));
+    assert!(least <= wait && wait <= most, "{wait}");
+}
--- a/crates/control/tests/all/world/input.rs
+++ b/crates/control/tests/all/world/input.rs
@@ -9,7 +9,8 @@
   "owners": ["o"],
   "accounts": [
     {"id": "a-0", "owner": "o", "key_sha256": "KEY0", "rate": {"per_second": 1e6, "burst": 1000000}},
-    {"id": "a-1", "owner": "o", "key_sha256": "KEY1", "rate": {"per_second": 1e6, "burst": 1000000}}
+    {"id": "a-1", "owner": "o", "key_sha256": "KEY1", "rate": {"per_second": 1e6, "burst": 1000000}},
+    {"id": "a-2", "owner": "o", "key_sha256": "KEY2", "rate": {"per_second": 0.1, "burst": 1}}
   ],
   "pools": [
     {"id": "desk", "owner": "o", "queue_wait_ms": 2000, "queue_length": 1000, "retry_share": SHARE,
@@ -80,11 +81,13 @@
 }
 
 impl Document {
-    /// The environment document with two accounts, a desk and a chat pool.
+    /// The environment document with two accounts, a
+    /// third that may send once in 10 s, a desk and a chat pool.
     pub fn text(self) -> String {
         DOCUMENT
             .replace("KEY0", &credential(0).to_string())
             .replace("KEY1", &credential(1).to_string())
+            .replace("KEY2", &credential(2).to_string())
             .replace("RETENTION", &self.retention_s.to_string())
             .replace("SHARE", &self.retry_share.to_string())
     }
--- a/tests/all/fleet.rs
+++ b/tests/all/fleet.rs
@@ -68,9 +68,14 @@
         }
     }
 
+    /// The process's id.
+    pub fn pid(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Sends the process a signal by name.
     pub fn signal(&self, name: &str) {
-        let pid = self.child.id().to_string();
+        let pid = self.pid().to_string();
         let status = Command::new("kill").args(["-s", name, &pid]).status().unwrap();
         assert!(status.success(), "kill -s {name} {pid}");
     }
