Name the targets that a decision passed over, and the budget in /status

Cause: a place line said why a target was chosen, not what stood in the way of those before it; /status did not show the use of the control budget.

Change: Board::passed names the target that held the context and those that rank higher, each with its obstacle; /status has a control part; the default log filter drops the HTTP server's free text.

--- a/benches/processes.rs
+++ b/benches/processes.rs
@@ -3,7 +3,7 @@
 //! `cargo bench --bench processes [-- --json]` starts 6, 12, 24 and 48
 //! `briarshift serve` processes on loopback around the stand-ins, lets them
 //! settle, and measures a span without and one with requests: processor time
-//! and memory from `/proc`, control bytes from `/metrics`, calls from the
+//! (of the process, and of its control thread alone) and memory from `/proc`, control bytes from `/metrics`, calls from the
 //! stand-in platform's own count.
 
 #[path = "../tests/all/fleet.rs"]
@@ -35,20 +35,33 @@
 #[derive(Debug, Clone, Copy, Default)]
 struct Reading {
     cpu_s: f64,
+    control_cpu_s: f64,
     memory_mb: f64,
     frame_bytes: f64,
     udp_bytes: f64,
     calls: f64,
 }
 
-fn cpu_s(vm: &Vm) -> f64 {
-    let stat = std::fs::read_to_string(format!("/proc/{}/stat", vm.pid())).unwrap();
+/// Processor seconds in one `stat` file of `/proc`.
+fn cpu_s(stat: &str) -> f64 {
     // The name may hold spaces; the fields after it do not.
     let fields: Vec<_> = stat.rsplit(')').next().unwrap().split_whitespace().collect();
     let ticks = |idx: usize| fields[idx].parse::<f64>().unwrap();
     (ticks(11) + ticks(12)) / TICKS
 }
 
+fn process_cpu_s(vm: &Vm) -> f64 {
+    cpu_s(&std::fs::read_to_string(format!("/proc/{}/stat", vm.pid())).unwrap())
+}
+
+/// The thread that runs the reducer, the peer transport and the store calls.
+fn control_cpu_s(vm: &Vm) -> f64 {
+    let tasks = std::fs::read_dir(format!("/proc/{}/task", vm.pid())).unwrap();
+    let stats =
+        tasks.filter_map(|task| std::fs::read_to_string(task.ok()?.path().join("stat")).ok());
+    stats.filter(|stat| stat.contains("(control")).map(|stat| cpu_s(&stat)).sum()
+}
+
 fn memory_mb(vm: &Vm) -> f64 {
     let status = std::fs::read_to_string(format!("/proc/{}/status", vm.pid())).unwrap();
     let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:")).unwrap();
@@ -70,7 +83,8 @@
         let text = String::from_utf8(response.body().await.unwrap().to_vec()).unwrap();
         reading.frame_bytes += sum(&text, "briarshift_peer_sent_bytes");
         reading.udp_bytes += sum(&text, "briarshift_peer_udp_sent_bytes");
-        reading.cpu_s += cpu_s(vm);
+        reading.cpu_s += process_cpu_s(vm);
+        reading.control_cpu_s += control_cpu_s(vm);
         reading.memory_mb += memory_mb(vm);
     }
     reading
@@ -107,6 +121,7 @@
     let each = |value: f64| value / seconds / vms;
     let requests = each((runs(&fleet.engines) - runs_before) as f64);
     let cpu = 100.0 * each(after.cpu_s - before.cpu_s);
+    let control = 100.0 * each(after.control_cpu_s - before.control_cpu_s);
     let memory = after.memory_mb / vms;
     let frames = each(after.frame_bytes - before.frame_bytes);
     let udp = each(after.udp_bytes - before.udp_bytes);
@@ -114,15 +129,15 @@
     if json {
         let line = serde_json::json!({
             "vms": fleet.vms.len(), "requests_per_s_per_vm": requests, "cpu_percent": cpu,
+            "control_cpu_percent": control,
             "memory_mb": memory, "frame_bytes_per_s_per_vm": frames,
             "udp_bytes_per_s_per_vm": udp, "platform_calls_per_s": calls,
         });
         println!("{line}");
     } else {
         let count = fleet.vms.len();
-        println!(
-            "{count:>5} {requests:>9.1} {cpu:>8.2} {memory:>8.1} {frames:>9.0} {udp:>9.0} {calls:>9.1}"
-        );
+        print!("{count:>5} {requests:>9.1} {cpu:>8.2} {control:>10.2} {memory:>8.1} ");
+        println!("{frames:>9.0} {udp:>9.0} {calls:>9.1}");
     }
 }
 
@@ -136,7 +151,7 @@
 fn main() {
     let json = std::env::args().any(|argument| argument == "--json");
     if !json {
-        println!("  VMs req/s/VM    cpu %       MB  frame B/s   udp B/s   calls/s");
+        println!("  VMs  req/s/VM    cpu %  control %       MB frame B/s   udp B/s   calls/s");
     }
     actix_rt::System::new().block_on(async {
         for size in SIZES {
--- a/crates/control/src/place/admit.rs
+++ b/crates/control/src/place/admit.rs
@@ -7,7 +7,7 @@
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
-use briarshift_routing::board::{Board, Bound, Choice, Seat, Want};
+use briarshift_routing::board::{Board, Bound, Choice, Passed, Seat, Want};
 use briarshift_routing::queue::{Queue, Slot};
 use briarshift_settings::{Kind, Pool};
 use briarshift_units::{Moment, RequestId, Span, TargetId, VmId};
@@ -297,12 +297,17 @@
         for slot in self.queue.slots() {
             let Some(waiting) = self.queue.get(slot) else { continue };
             let mut held_back = false;
+            let mut passed = String::new();
             let choice = if exhausted {
                 Choice::WaitForAny
             } else {
                 let avoid = self.copies.avoid(at, &waiting.ask, &targets);
                 held_back = waiting.ask.avoid.len() < avoid.len();
-                let choice = board.choose(&want(at, view, pool, waiting, &avoid));
+                let want = want(at, view, pool, waiting, &avoid);
+                let choice = board.choose(&want);
+                if let Choice::Seat(seat, _) = choice {
+                    passed = names(&board.passed(&want, seat));
+                }
                 let anywhere = avoid.is_empty() && !waiting.ask.overnight;
                 exhausted = choice == Choice::WaitForAny && anywhere;
                 choice
@@ -314,7 +319,8 @@
                     let target = board.seats[seat].target.clone();
                     let load = board.seats[seat].load + 1;
                     let line = line(key, waiting, waited).with("target", &target);
-                    let line = line.with("why", why.as_str()).with("load", load);
+                    let line = line.with("why", why.as_str()).with("passed", &passed);
+                    let line = line.with("load", load);
                     out.log(line.with("cap", board.cap()));
                     board.take(seat, waiting.ask.overnight);
                     Ok(target)
@@ -474,3 +480,12 @@
     let line = line.with("slice", key.slice.0).with("for", &waiting.vm);
     line.with("account", &waiting.ask.account).with("waited", waited)
 }
+
+/// Targets that were passed over, with the reason of each.
+fn names(passed: &[Passed<'_>]) -> String {
+    if passed.is_empty() {
+        return "none".to_owned();
+    }
+    let names = passed.iter().map(|passed| format!("{}:{}", passed.target, passed.why.as_str()));
+    names.collect::<Vec<_>>().join(",")
+}
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -25,7 +25,7 @@
 use crate::control::{Control, Drain, Input};
 use crate::driver::Driver;
 use crate::metric::Metrics;
-use crate::operator;
+use crate::operator::{self, Traffic};
 use crate::worker::Worker;
 
 /// Calls to the platform are given up after this time.
@@ -145,6 +145,8 @@
     let me = identity(&process, peer)?;
     log::info!("event=start vm={} start={} data_centre={}", me.vm, me.start, me.data_centre);
     let metrics = Metrics::new(&process.vm, &link.gauge())?;
+    let budget = BytesPerSecond(process.control_bytes_per_second);
+    let traffic = Traffic { budget, peers: link.gauge() };
     let platform = Rc::new(Platform::new(&process.platform, PLATFORM_TIMEOUT));
     let driver = Driver {
         store: platform.clone(),
@@ -160,7 +162,7 @@
     let callers = callers(listener, &process, control.clone())?;
     let listener = bind(process.operator_address)?;
     let operator = listener.local_addr()?;
-    let operators = operators(listener, control.clone(), metrics)?;
+    let operators = operators(listener, control.clone(), metrics, traffic)?;
 
     let servers = vec![callers.handle(), operators.handle()];
     actix_rt::spawn(callers);
@@ -249,11 +251,13 @@
     listener: TcpListener,
     control: Addr<Control>,
     metrics: Metrics,
+    traffic: Traffic,
 ) -> anyhow::Result<Server> {
     let factory = move || {
         App::new()
             .app_data(web::Data::new(control.clone()))
             .app_data(web::Data::new(metrics.clone()))
+            .app_data(web::Data::new(traffic.clone()))
             .configure(operator::configure)
     };
     let server = HttpServer::new(factory)
--- a/crates/daemon/src/operator.rs
+++ b/crates/daemon/src/operator.rs
@@ -3,10 +3,51 @@
 use actix::Addr;
 use actix_web::web::{self, ServiceConfig};
 use actix_web::{HttpResponse, Responder};
+use briarshift_control::status::Status;
+use briarshift_peer::{Gauge, Kind};
+use briarshift_units::BytesPerSecond;
+use serde::Serialize;
 
 use crate::control::{AskCounts, AskStatus, Control, Drain};
 use crate::metric::Metrics;
 
+/// Where a VM's control traffic is read.
+#[derive(Clone)]
+pub(crate) struct Traffic {
+    pub(crate) budget: BytesPerSecond,
+    pub(crate) peers: Gauge,
+}
+
+/// A VM's control traffic since its start.
+#[derive(Debug, Serialize)]
+struct Use {
+    budget_bytes_per_second: BytesPerSecond,
+    sent_frame_bytes: u64,
+    sent_udp_bytes: u64,
+    over_budget_bytes: u64,
+    connections: u64,
+}
+
+#[derive(Debug, Serialize)]
+struct Report {
+    #[serde(flatten)]
+    status: Status,
+    control: Use,
+}
+
+impl Traffic {
+    fn read(&self) -> Use {
+        let peers = self.peers.snapshot();
+        Use {
+            budget_bytes_per_second: self.budget,
+            sent_frame_bytes: Kind::ALL.into_iter().map(|kind| peers.sent(kind).bytes).sum(),
+            sent_udp_bytes: peers.udp_sent,
+            over_budget_bytes: peers.over_budget,
+            connections: peers.connections,
+        }
+    }
+}
+
 /// Routes of the operators' listener.
 pub(crate) fn configure(cfg: &mut ServiceConfig) {
     cfg.route("/healthz", web::get().to(healthz))
@@ -35,9 +76,9 @@
     }
 }
 
-async fn status(control: web::Data<Addr<Control>>) -> HttpResponse {
+async fn status(control: web::Data<Addr<Control>>, traffic: web::Data<Traffic>) -> HttpResponse {
     match control.send(AskStatus).await {
-        Ok(status) => HttpResponse::Ok().json(status),
+        Ok(status) => HttpResponse::Ok().json(Report { status, control: traffic.read() }),
         Err(_) => HttpResponse::ServiceUnavailable().body("the VM is stopping"),
     }
 }
--- a/crates/routing/src/board.rs
+++ b/crates/routing/src/board.rs
@@ -110,6 +110,40 @@
     Empty,
 }
 
+/// Why a target that comes before the chosen one was not chosen.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Obstacle {
+    /// It restarted or left since it ran the chat: the context is gone.
+    ContextLost,
+    /// The request may not run there.
+    Avoided,
+    /// It takes no new work.
+    Closed,
+    /// It is at the bound.
+    Full,
+}
+
+impl Obstacle {
+    /// Its name in log lines.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::ContextLost => "context_lost",
+            Self::Avoided => "avoided",
+            Self::Closed => "closed",
+            Self::Full => "full",
+        }
+    }
+}
+
+/// A target that was passed over.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Passed<'a> {
+    /// The target.
+    pub target: &'a TargetId,
+    /// Why.
+    pub why: Obstacle,
+}
+
 impl Board<'_> {
     /// Most requests one target may hold, the next one included.
     pub fn cap(&self) -> u32 {
@@ -183,6 +217,37 @@
         seat.overnight += u32::from(overnight);
     }
 
+    /// Targets that come before the chosen seat and could not be taken: the one
+    /// that held the context, then those that rank higher. For the log.
+    pub fn passed<'a>(&'a self, want: &Want<'a>, chosen: usize) -> Vec<Passed<'a>> {
+        let Some(taken) = self.seats.get(chosen) else { return Vec::new() };
+        let cap = self.cap();
+        let held = want.held_on.filter(|(id, _)| *id != taken.target);
+        let held = held.map(|(target, start)| {
+            let seat = self.seats.iter().find(|seat| seat.target == target && seat.start == start);
+            let why = seat.and_then(|seat| self.obstacle(want, seat, cap));
+            Passed { target, why: why.unwrap_or(Obstacle::ContextLost) }
+        });
+        let score = |seat: &Seat<'_>| rank::score(want.chat, seat.target.as_str());
+        let least = score(taken);
+        let is_held = |seat: &Seat<'_>| want.held_on.is_some_and(|(id, _)| id == seat.target);
+        let higher = self.seats.iter().filter(|seat| least < score(seat) && !is_held(seat));
+        let higher = higher.filter_map(|seat| {
+            Some(Passed { target: seat.target, why: self.obstacle(want, seat, cap)? })
+        });
+        held.into_iter().chain(higher).collect()
+    }
+
+    fn obstacle(&self, want: &Want<'_>, seat: &Seat<'_>, cap: u32) -> Option<Obstacle> {
+        if want.avoid.contains(seat.target) {
+            return Some(Obstacle::Avoided);
+        }
+        if !seat.open {
+            return Some(Obstacle::Closed);
+        }
+        (!self.has_room(seat, want.overnight, cap)).then_some(Obstacle::Full)
+    }
+
     fn has_room(&self, seat: &Seat<'_>, overnight: bool, cap: u32) -> bool {
         if cap <= seat.load {
             return false;
--- a/crates/routing/tests/all/board.rs
+++ b/crates/routing/tests/all/board.rs
@@ -1,7 +1,8 @@
 //! No target is placed on above the bound, and none under it is passed over
 //! for one above.
 
-use briarshift_routing::board::{Board, Bound, Choice, Seat, Want, Why};
+use briarshift_routing::board::{Board, Bound, Choice, Obstacle, Seat, Want, Why};
+use briarshift_routing::rank;
 use briarshift_units::{ChatKey, Span, Start, TargetId};
 use proptest::prelude::*;
 
@@ -50,6 +51,35 @@
     assert!(matches!(board.choose(&want), Choice::Seat(1, _)));
 }
 
+#[test]
+fn those_that_come_first_and_were_not_taken_are_named() {
+    let ids = ids(4);
+    let mut seats = seats(&ids, &[(4, 0), (4, 0), (0, 0), (0, 0)]);
+    seats[3].open = false;
+    let board = Board { seats, bound: Bound::Fixed(4), other_load: 0, other_targets: 0 };
+    let check = |chat: u64, held: Option<(usize, u64)>, expected: &[(usize, Obstacle)]| {
+        let held_on = held.map(|(index, start)| (&ids[index], Start(start)));
+        let patience = Span::ZERO;
+        let want = Want { chat: ChatKey(chat), held_on, avoid: &[], overnight: false, patience };
+        let passed = board.passed(&want, 2);
+        let found: Vec<_> = passed.iter().map(|passed| (passed.target, passed.why)).collect();
+        let expected: Vec<_> = expected.iter().map(|&(index, why)| (&ids[index], why)).collect();
+        assert_eq!(found, expected, "chat {chat}");
+    };
+    // The held target comes first, whatever its rank.
+    let first =
+        (0..).find(|&chat| rank::best(ChatKey(chat), &ids, |id| id.as_str()) == Some(&ids[2]));
+    let first = first.unwrap();
+    check(first, None, &[]);
+    check(first, Some((0, 1)), &[(0, Obstacle::Full)]);
+    check(first, Some((0, 0)), &[(0, Obstacle::ContextLost)]);
+    let wanted = [&ids[0], &ids[1], &ids[3], &ids[2]];
+    let last = (0..)
+        .find(|&chat| rank::order(ChatKey(chat), ids.iter().collect(), |id| id.as_str()) == wanted);
+    let all = [(0, Obstacle::Full), (1, Obstacle::Full), (3, Obstacle::Closed)];
+    check(last.unwrap(), None, &all);
+}
+
 proptest! {
     #[test]
     fn the_bound_holds(
--- a/src/bin/briarshift.rs
+++ b/src/bin/briarshift.rs
@@ -36,12 +36,14 @@
 
 fn main() -> ExitCode {
     let arguments = Arguments::parse_args_default_or_exit();
-    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info"))
-        .format(|out, record| {
-            let level = record.level().as_str().to_lowercase();
-            writeln!(out, "time={} level={level} {}", out.timestamp_millis(), record.args())
-        })
-        .init();
+    env_logger::Builder::from_env(
+        env_logger::Env::default().default_filter_or("info,actix_server=warn"),
+    )
+    .format(|out, record| {
+        let level = record.level().as_str().to_lowercase();
+        writeln!(out, "time={} level={level} {}", out.timestamp_millis(), record.args())
+    })
+    .init();
     let Some(command) = arguments.command else {
         eprintln!("{}", Arguments::usage());
         eprintln!("\n{}", Arguments::command_list().unwrap_or_default());
