--- a/crates/control/src/place/admit.rs
+++ b/crates/control/src/place/admit.rs
@@ -5,7 +5,7 @@
 //! grants nothing until they have told or a grace period is over; places that
 //! nobody told of are then taken from the targets' reports.
 
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet};
 
 use briarshift_routing::board::{Board, Bound, Choice, Passed, Seat, Want};
 use briarshift_routing::queue::{Queue, Slot};
@@ -14,19 +14,11 @@
 use briarshift_wire::place::{Ask, Denial, Held};
 
 use super::copies::{self, Copies};
+use super::under_way::UnderWay;
+use super::untold::{self, Untold};
 use super::{Key, Roster, View};
 use crate::{Output, Record};
 
-/// How long a grant may be under way to its target.
-const GRANT_TRANSIT: Span = Span::from_millis(10);
-/// Over how long releases are counted, to tell their rate.
-const RELEASE_WINDOW: Span = Span::from_secs(1);
-/// Mean time from a request's end to its release here: it is carried along
-/// with other messages.
-const RELEASE_TRANSIT: Span = Span::from_millis(16);
-/// Standard deviations of the number of releases under way that are allowed
-/// for.
-const RELEASE_SIGMAS: f64 = 3.0;
 /// Shortest wait for a VM that is doubted to say that it admits.
 const PROBE: Span = Span::from_millis(50);
 /// Longest wait for other VMs to tell what they hold.
@@ -35,11 +27,6 @@
 const EMPTY_GRACE: Span = Span::from_millis(500);
 /// How long a place unknown to its holder is kept: its grant may be under way.
 const GRANT_AGE: Span = Span::from_secs(1);
-/// Weight of a new report in the estimate of places that nobody told of.
-const UNTOLD_WEIGHT: f64 = 0.1;
-/// Reports lag, so that they differ from the count by some requests; only
-/// what is above this counts as untold.
-const UNTOLD_SLACK: f64 = 4.0;
 
 /// Whether the slice is admitted for.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -97,29 +84,6 @@
     overnight: u32,
 }
 
-#[derive(Debug, Clone, Copy, Default)]
-struct Untold {
-    estimate: f64,
-    reported_at: Moment,
-}
-
-/// Times of something that happened lately.
-#[derive(Debug, Default)]
-struct Recent(VecDeque<Moment>);
-
-impl Recent {
-    fn add(&mut self, at: Moment) {
-        self.0.push_back(at);
-    }
-
-    fn count(&mut self, at: Moment, window: Span) -> i64 {
-        while self.0.front().is_some_and(|&first| window <= at.since(first)) {
-            self.0.pop_front();
-        }
-        self.0.len() as i64
-    }
-}
-
 /// One slice, as its admitting VM counts it.
 #[derive(Debug)]
 pub struct State {
@@ -128,10 +92,9 @@
     counts: BTreeMap<TargetId, Count>,
     copies: Copies,
     by_vm: BTreeMap<VmId, u32>,
-    untold: BTreeMap<TargetId, Untold>,
+    untold: Untold,
     queue: Queue<Waiting>,
-    grants: Recent,
-    releases: Recent,
+    under_way: UnderWay,
 }
 
 impl Default for State {
@@ -142,10 +105,9 @@
             counts: BTreeMap::new(),
             copies: Copies::default(),
             by_vm: BTreeMap::new(),
-            untold: BTreeMap::new(),
+            untold: Untold::default(),
             queue: Queue::default(),
-            grants: Recent::default(),
-            releases: Recent::default(),
+            under_way: UnderWay::default(),
         }
     }
 }
@@ -191,7 +153,7 @@
     pub fn release(&mut self, at: Moment, request: RequestId) {
         if let Some(place) = self.places.remove(&request) {
             self.uncount(&place);
-            self.releases.add(at);
+            self.under_way.released(at);
             return;
         }
         let slot = self.queue.iter().find(|(_, waiting)| waiting.ask.request == request);
@@ -257,7 +219,7 @@
         }
         self.phase = Phase::Admitting;
         if !all {
-            self.estimate(view, roster, key, 1.0);
+            self.estimate(view, roster, key, untold::WHOLE);
         }
         true
     }
@@ -265,7 +227,7 @@
     /// Compares the count with new reports: what is reported and was never
     /// told is held by VMs that can't be heard.
     pub fn reported(&mut self, view: View<'_>, roster: &Roster, key: &Key) {
-        self.estimate(view, roster, key, UNTOLD_WEIGHT);
+        self.estimate(view, roster, key, untold::WEIGHT);
     }
 
     /// Grants what can be granted and denies what has waited too long.
@@ -351,7 +313,7 @@
             let (overnight, chat) = (ask.overnight, Some(copies::key(&ask)));
             let place = Place { vm: vm.clone(), target: target.clone(), overnight, at, chat };
             self.count(ask.request, place);
-            self.grants.add(at);
+            self.under_way.granted(at);
         }
         Some(Answer { vm, request: ask.request, place })
     }
@@ -383,7 +345,7 @@
                 continue;
             }
             unsure += u32::from(expected);
-            let load = load + self.untold(id);
+            let load = load + self.untold.load(id);
             seats.push(Seat { target: id, start: target.start(), load, overnight, open });
         }
         let bound = match &pool.kind {
@@ -393,31 +355,16 @@
             Kind::Runner(runner) => Bound::Fixed(runner.concurrency),
         };
         let (other_load, other_targets) = roster.others(key);
-        let transit = self.grants.count(at, GRANT_TRANSIT);
-        let rate = self.releases.count(at, RELEASE_WINDOW) as f64 / RELEASE_WINDOW.as_secs_f64();
-        let ended = unheard(rate * RELEASE_TRANSIT.as_secs_f64());
-        let other_load = other_load as i64 + hidden - transit - ended;
+        let other_load = other_load as i64 + hidden - self.under_way.load(at);
         let other_targets = other_targets.saturating_sub(unsure);
         Board { seats, bound, other_load, other_targets }
     }
 
-    fn untold(&self, target: &TargetId) -> u32 {
-        let untold = self.untold.get(target).copied().unwrap_or_default();
-        (untold.estimate - UNTOLD_SLACK).max(0.0) as u32
-    }
-
     fn estimate(&mut self, view: View<'_>, roster: &Roster, key: &Key, weight: f64) {
         for id in roster.targets(key).iter() {
             let Some(target) = view.targets.get(id) else { continue };
-            let Some(report) = &target.report else { continue };
-            let untold = self.untold.entry(id.clone()).or_default();
-            if untold.reported_at == target.reported_at && weight < 1.0 {
-                continue;
-            }
-            untold.reported_at = target.reported_at;
             let load = self.counts.get(id).copied().unwrap_or_default().load;
-            let sample = f64::from(report.running + report.waiting) - f64::from(load);
-            untold.estimate += weight * (sample - untold.estimate);
+            self.untold.compare(target, load, weight);
         }
     }
 
@@ -448,11 +395,6 @@
     }
 }
 
-/// Most requests that may have ended unheard, where `mean` have on average.
-fn unheard(mean: f64) -> i64 {
-    (mean + RELEASE_SIGMAS * mean.sqrt() + 1.0).ceil() as i64
-}
-
 fn want<'a>(
     at: Moment,
     view: View<'_>,
--- a/crates/control/src/place/mod.rs
+++ b/crates/control/src/place/mod.rs
@@ -12,6 +12,8 @@
 mod duty;
 mod entry;
 mod roster;
+mod under_way;
+mod untold;
 
 use std::collections::BTreeMap;
 
