Drop a signal that nobody listens to

Cause: Signal::Sent was meant for the retry budget, which counts inside the request state; the top state dropped it, at the price of a copy of the pool's id for each attempt.

Change: the variant and its one sender are gone. No behaviour changes.

--- a/crates/control/src/request/state.rs
+++ b/crates/control/src/request/state.rs
@@ -300,7 +300,6 @@
             whole: request.is_booking(),
             before: request.claimed.map(|at| at + CLAIM_LIFE),
         };
-        out.signal(Signal::Sent(request.pool.clone()));
         out.push(Effect::Decide { request: id, decision: Decision::Send(send) });
     }
 
--- a/crates/control/src/signal.rs
+++ b/crates/control/src/signal.rs
@@ -1,7 +1,7 @@
 //! What one concern tells another.
 
 use briarshift_target::Attempt;
-use briarshift_units::{Fingerprint, PoolId, RequestId, TargetId};
+use briarshift_units::{Fingerprint, RequestId, TargetId};
 use briarshift_wire::place::Ask;
 use briarshift_wire::poison::Trial;
 
@@ -45,8 +45,6 @@
     Cancel(TargetId, Attempt),
     /// Something to be counted.
     Use(usage::Sample),
-    /// An attempt was sent to a pool's target.
-    Sent(PoolId),
     /// A message of gossip is due.
     Round(member::Round),
     /// Something should reach the peers before the next round.
--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -228,7 +228,6 @@
                 self.orders.count(ctx, &sample);
                 self.usage.count(ctx, &sample);
             }
-            Signal::Sent(_) => {}
             Signal::Round(round) => self.round(ctx, round, out),
             Signal::News => self.members.news(),
         }
