Decide at a cost that grows slowly with the fleet

With 300 VMs and 3,000 targets a VM spent 16 to 32% of a core: each beat was encoded and authenticated once for each peer (1,000 times a second), what all peers have was added up anew after each of a hundred beats a second, each request ranked all engines and looked up what each of them holds, and looked through all of them again for one to fetch from.

Change: one datagram for all peers (Effect::Broadcast); sums of loads kept beat by beat; engines are looked at in the order of their ranks only as far as needed, and what they hold only where it matters; holders are found by part. Among equal holders one in the data centre of the receiving engine gives, and not always the same one, since transfers from one engine queue.

Ruled out: fewer beats (the bound on loads needs them).

Tests: the choice agrees with one by a full sort; sums after restarts and silence of peers; transfers stay within a data centre.

--- a/crates/daemon/src/gateway/control.rs
+++ b/crates/daemon/src/gateway/control.rs
@@ -110,7 +110,8 @@
                     control.do_send(Input(Kind::Checked { target, address, listens }));
                 });
             }
-            Effect::Send { address, datagram } => self.link.send(address, &datagram),
+            Effect::Send { address, datagram } => self.link.send(&[address], &datagram),
+            Effect::Broadcast { addresses, datagram } => self.link.send(&addresses, &datagram),
             Effect::Trust(secret) => self.link.trust(secret),
             Effect::Limit(limits) => self.shared.set_limits(limits),
             Effect::Ready(ready) => self.shared.set_ready(ready),
--- a/crates/daemon/src/gateway/link.rs
+++ b/crates/daemon/src/gateway/link.rs
@@ -45,16 +45,19 @@
         *self.secret.borrow_mut() = Some(secret);
     }
 
-    /// Sends a datagram, or drops it: what must arrive is sent again.
-    pub(crate) fn send(&self, to: SocketAddr, message: &Datagram) {
+    /// Sends a datagram to peers, or drops it: what must arrive is sent again.
+    /// It is encoded and authenticated once for all of them.
+    pub(crate) fn send(&self, to: &[SocketAddr], message: &Datagram) {
         let Some(secret) = self.secret.borrow().clone() else { return };
         let Ok(mut datagram) = message.encode() else {
             log::error!("event=datagram_dropped reason=encoding");
             return;
         };
         datagram.extend_from_slice(&mac(&secret, &datagram).finalize().into_bytes());
-        if let Err(err) = self.socket.try_send_to(&datagram, to) {
-            log::debug!("event=datagram_dropped to={to} reason={:?}", err.to_string());
+        for peer in to {
+            if let Err(err) = self.socket.try_send_to(&datagram, *peer) {
+                log::debug!("event=datagram_dropped to={peer} reason={:?}", err.to_string());
+            }
         }
     }
 
--- a/crates/gateway/src/cache.rs
+++ b/crates/gateway/src/cache.rs
@@ -3,7 +3,7 @@
 //! Each VM tells its peers where it sent prompts, in its next beats, so that
 //! all of them know which engine holds what about a beat later.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 
 use briarshift_routing::cache::{Cache, Chain};
 use briarshift_routing::heat::Heat;
@@ -19,6 +19,8 @@
 #[derive(Debug, Default)]
 pub struct State {
     engines: HashMap<Mark, Cache>,
+    /// Engines that were sent a part and may still hold it.
+    holders: HashMap<Chain, BTreeSet<Mark>>,
     /// How often prompts are sent, by their last shared part.
     heat: Heat<Chain>,
     /// Placements, each with the moment at which it was first told.
@@ -34,6 +36,28 @@
         self.engines.get(&engine).map_or(0, |cache| cache.held(parts, now))
     }
 
+    /// Engines that hold at least the leading parts up to the longest beginning
+    /// that any engine among `usable` holds, with the tokens of a prompt that
+    /// each of them holds.
+    pub fn holders(
+        &self,
+        parts: &[(Chain, u32)],
+        usable: impl Fn(Mark) -> bool,
+        now: Moment,
+    ) -> Vec<(Mark, u64)> {
+        for (index, (chain, _)) in parts.iter().enumerate().rev() {
+            let beginning = tokens(&parts[..=index]);
+            let sent = self.holders.get(chain).into_iter().flatten().copied();
+            let held = sent.map(|engine| (engine, self.held(engine, parts, now)));
+            let holders: Vec<_> =
+                held.filter(|&(engine, held)| beginning <= held && usable(engine)).collect();
+            if !holders.is_empty() {
+                return holders;
+            }
+        }
+        Vec::new()
+    }
+
     /// Share of all prompts lately with the same last shared part, 0 to 1.
     pub fn share(&self, parts: &[(Chain, u32)], now: Moment) -> f64 {
         parts.last().map_or(0.0, |(last, _)| self.heat.share(last, now))
@@ -44,7 +68,7 @@
         let Some(&(last, _)) = parts.last() else { return };
         self.heat.add(last, now);
         let memory = memory.unwrap_or(MEMORY);
-        self.engines.entry(engine).or_default().read(parts, memory, now);
+        self.read(engine, parts, memory, now);
         self.placed += 1;
         let parts = parts.iter().map(|(chain, tokens)| (chain.0, *tokens)).collect();
         self.told.push((Placement { target: engine, parts }, None));
@@ -58,7 +82,14 @@
             if let Some(&(last, _)) = parts.last().filter(|_| (index as u64) < new) {
                 self.heat.add(last, now);
             }
-            self.engines.entry(placement.target).or_default().read(&parts, MEMORY * 2, now);
+            self.read(placement.target, &parts, MEMORY * 2, now);
+        }
+    }
+
+    fn read(&mut self, engine: Mark, parts: &[(Chain, u32)], memory: u64, now: Moment) {
+        self.engines.entry(engine).or_default().read(parts, memory, now);
+        for (chain, _) in parts {
+            self.holders.entry(*chain).or_default().insert(engine);
         }
     }
 
@@ -88,5 +119,14 @@
         }
         self.heat.prune(now);
         self.engines.retain(|_, cache| !cache.is_empty());
+        let engines = &self.engines;
+        self.holders.retain(|chain, holders| {
+            holders.retain(|engine| engines.get(engine).is_some_and(|cache| cache.has(*chain)));
+            !holders.is_empty()
+        });
     }
 }
+
+fn tokens(parts: &[(Chain, u32)]) -> u64 {
+    parts.iter().map(|(_, tokens)| u64::from(*tokens)).sum()
+}
--- a/crates/gateway/src/effect.rs
+++ b/crates/gateway/src/effect.rs
@@ -36,6 +36,13 @@
         /// The datagram.
         datagram: Datagram,
     },
+    /// Send one datagram to many peers.
+    Broadcast {
+        /// The peers' listeners.
+        addresses: Vec<SocketAddr>,
+        /// The datagram.
+        datagram: Datagram,
+    },
     /// Authenticate datagrams with this secret from now on.
     Trust(Secret),
     /// Hold callers to these limits from now on.
--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer/mod.rs
@@ -4,14 +4,16 @@
 //! less often the more there are. Whether a peer is alive is judged by its
 //! beats alone; the store only says where it listens.
 
-use std::collections::{BTreeMap, HashMap};
+mod load;
+
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
 use briarshift_logging::Record;
 use briarshift_routing::rank;
 use briarshift_store::registry::{Member, Name, Value};
 use briarshift_units::{ChatKey, DataCentre, Moment, Revision, Span, Start, VmId};
-use briarshift_wire::beat::{Beat, Load, Mark, Placement, Strike, Trouble};
+use briarshift_wire::beat::{Beat, Load, Placement, Strike, Trouble};
 use briarshift_wire::datagram::Datagram;
 
 use crate::limit::{
@@ -20,6 +22,8 @@
 use crate::sync::Update;
 use crate::{Context, Effect, Identity, Output};
 
+pub use load::Loads;
+
 /// Names the duty in the ranking of VMs.
 const DELEGATES_KEY: ChatKey = ChatKey(0);
 
@@ -49,6 +53,14 @@
     alive: bool,
 }
 
+impl Peer {
+    /// What it has at targets, as far as that counts.
+    fn loads(&self) -> &[Load] {
+        let known = self.known.as_ref().filter(|_| self.alive);
+        known.map_or(&[], |known| &known.loads)
+    }
+}
+
 /// What a peer's last beat said of itself.
 #[derive(Debug)]
 struct Known {
@@ -77,6 +89,8 @@
 #[derive(Debug, Default)]
 pub struct State {
     peers: BTreeMap<VmId, Peer>,
+    /// What the peers that are heard have.
+    loads: Loads,
     sequence: u64,
     next: Moment,
 }
@@ -126,7 +140,9 @@
         }
         out.log(Record::new("peer").with("peer", vm).with("address", member.address));
         let peer = Peer { member: member.clone(), known: None, alive: false };
-        self.peers.insert(vm.clone(), peer);
+        if let Some(before) = self.peers.insert(vm.clone(), peer) {
+            self.loads.remove(before.loads());
+        }
     }
 
     /// Takes in a beat, if it is newer than what is known, and returns what it
@@ -144,6 +160,8 @@
         if !peer.alive {
             out.log(Record::new("peer_heard").with("peer", &from));
         }
+        self.loads.remove(peer.loads());
+        self.loads.add(&loads);
         peer.alive = true;
         peer.known = Some(Known { heard: ctx.at, start, sequence, age, placed, loads });
         let new = placed.saturating_sub(before);
@@ -172,12 +190,17 @@
             placements: news.placements,
             strikes: news.strikes,
         };
+        let addresses = self.peers.values().map(|peer| peer.member.address).collect();
+        out.push(Effect::Broadcast { addresses, datagram: Datagram::Beat(beat) });
+        self.notice(ctx, Span(pause.0 * MISSED_BEATS), out);
+    }
+
+    /// Notices the peers that were not heard for so long.
+    fn notice(&mut self, ctx: &Context<'_>, silent: Span, out: &mut Output) {
         for (vm, peer) in &mut self.peers {
-            let datagram = Datagram::Beat(beat.clone());
-            out.push(Effect::Send { address: peer.member.address, datagram });
-            let silent = Span(pause.0 * MISSED_BEATS);
             let heard = peer.known.as_ref().map(|known| known.heard);
             if peer.alive && heard.is_none_or(|at| silent <= ctx.at.since(at)) {
+                self.loads.remove(peer.loads());
                 peer.alive = false;
                 out.log(Record::new("peer_silent").with("peer", vm).with("after", silent));
             }
@@ -226,17 +249,8 @@
     }
 
     /// What all peers that are heard have at targets.
-    pub fn loads(&self) -> HashMap<Mark, Load> {
-        let mut sum: HashMap<Mark, Load> = HashMap::new();
-        let alive = self.peers.values().filter(|peer| peer.alive);
-        let known = alive.filter_map(|peer| peer.known.as_ref());
-        for load in known.flat_map(|known| &known.loads) {
-            let none = Load { target: load.target, requests: 0, backlog: 0 };
-            let entry = sum.entry(load.target).or_insert(none);
-            entry.requests = entry.requests.saturating_add(load.requests);
-            entry.backlog = entry.backlog.saturating_add(load.backlog);
-        }
-        sum
+    pub fn loads(&self) -> &Loads {
+        &self.loads
     }
 
     fn pause(&self) -> Span {
--- a/crates/gateway/src/request/choice.rs
+++ b/crates/gateway/src/request/choice.rs
@@ -8,8 +8,8 @@
 
 use super::flight::Flight;
 use super::view::Turn;
+use crate::Context;
 use crate::limit::{LEAST_FETCH, PATIENCE};
-use crate::{Context, roster};
 
 /// Where a request goes, and what it brings there.
 pub(super) struct Choice {
@@ -38,47 +38,51 @@
 /// The target for a request; `None` if its pool has none.
 pub(super) fn choose(turn: &Turn<'_, '_>, flight: &Flight) -> Option<Choice> {
     let Turn { ctx, view, .. } = turn;
-    let of =
-        |tried: &[TargetId]| view.roster.seats(&flight.pool, &ctx.me.data_centre, tried, ctx.at);
-    let mut seats = of(&flight.tried);
+    let glance = view.glance(ctx);
+    let mut seats = view.roster.seats(&glance, &flight.pool, &flight.tried);
     // A target that it could not reach, or that broke off, may be the only one.
     if seats.is_empty() {
-        seats = of(&[]);
+        seats = view.roster.seats(&glance, &flight.pool, &[]);
     }
+    let held = |seat: &Seat<'_>| view.cache.held(Mark::of(seat.name), flight.shared(), ctx.at);
     let seat = if flight.parts.is_empty() {
         seat::runner(&seats, ctx.entropy)
     } else {
-        for seat in &mut seats {
-            seat.held = view.cache.held(Mark::of(seat.name), flight.shared(), ctx.at);
-        }
         let prompt = flight.prompt(view.cache.share(flight.shared(), ctx.at));
-        seat::engine(&seats, &prompt, &ctx.me.bounds.engine, ctx.entropy)
+        seat::engine(&seats, &prompt, &ctx.me.bounds.engine, held, ctx.entropy)
     };
-    let Seat { name, load, backlog, held, .. } = seats[seat?];
-    let fetch = holder(turn, flight, held);
+    let seat = &seats[seat?];
+    let Seat { name, load, backlog, .. } = *seat;
+    let held = held(seat);
+    let target: TargetId = name.parse().ok()?;
+    let fetch = holder(turn, flight, &target, held);
     let there = fetch.as_ref().map_or(held, |holder| holder.held);
     let unread = flight.tokens().saturating_sub(there);
-    let (target, seats) = (name.parse().ok()?, seats.len());
-    Some(Choice { target, unread, held, load, backlog, seats, fetch })
+    Some(Choice { target, unread, held, load, backlog, seats: seats.len(), fetch })
 }
 
-/// The target that holds most of a prompt, if that is worth a transfer beside
-/// what is held where the prompt goes. A leaving target can still give.
-fn holder(turn: &Turn<'_, '_>, flight: &Flight, held: u64) -> Option<Holder> {
+/// A target that holds most of a prompt, if that is worth a transfer beside the
+/// `held` tokens of where the prompt goes: one of the same data centre if there
+/// is one, and not always the same, since transfers from one target queue. A
+/// leaving target can still give.
+fn holder(turn: &Turn<'_, '_>, flight: &Flight, to: &TargetId, held: u64) -> Option<Holder> {
     let Turn { ctx, view, .. } = turn;
-    if flight.shared().is_empty() {
-        return None;
-    }
-    let usable = view
-        .roster
-        .all()
-        .filter(|(_, entry)| entry.target.pool == flight.pool && !entry.health.is_paused(ctx.at));
-    let holds = |(id, entry): (_, &roster::Entry)| {
-        (view.cache.held(entry.mark, flight.shared(), ctx.at), id, entry.target.address)
+    let entry = |mark| view.roster.marked(mark);
+    let centre = &view.roster.get(to)?.target.data_centre;
+    let usable = |mark| {
+        entry(mark).is_some_and(|(_, entry)| {
+            entry.target.pool == flight.pool && !entry.health.is_paused(ctx.at)
+        })
+    };
+    let holders = view.cache.holders(flight.shared(), usable, ctx.at);
+    let order = |&(mark, held): &(Mark, u64)| {
+        let near = entry(mark).is_some_and(|(_, entry)| entry.target.data_centre == *centre);
+        (held, near, mark.0.wrapping_mul(ctx.entropy as u32 | 1))
     };
-    let (most, id, address) = usable.map(holds).max_by_key(|(held, ..)| *held)?;
+    let (mark, most) = holders.into_iter().max_by_key(order)?;
+    let (id, entry) = entry(mark)?;
     let is_worth = held + LEAST_FETCH <= most;
-    is_worth.then(|| Holder { target: TargetId::clone(id), address, held: most })
+    is_worth.then(|| Holder { target: id.clone(), address: entry.target.address, held: most })
 }
 
 /// When to try another target, where one may be tried.
--- a/crates/gateway/src/request/state.rs
+++ b/crates/gateway/src/request/state.rs
@@ -156,7 +156,7 @@
             return false;
         }
         let window = self.windows.entry(flight.pool.clone()).or_default();
-        window.take(&turn.ctx.me.bounds.retries, turn.view.vms, turn.ctx.at)
+        window.take(&turn.ctx.me.bounds.retries, turn.view.peers.vms(), turn.ctx.at)
     }
 
     fn gone(&mut self, turn: &mut Turn<'_, '_>, request: RequestId) {
@@ -205,7 +205,7 @@
         account: flight.account.as_ref().map(|account| account.id.clone()),
         priority: flight.priority(),
         fetch: choice.fetch.as_ref().map(|holder| holder.address),
-        connections: (connections / view.vms.max(1) as u32).max(1),
+        connections: (connections / view.peers.vms() as u32).max(1),
     })
 }
 
--- a/crates/gateway/src/request/view.rs
+++ b/crates/gateway/src/request/view.rs
@@ -5,7 +5,7 @@
 use briarshift_catalog::Catalog;
 use briarshift_routing::fence::Fence;
 
-use crate::{Context, Output, cache, poison, roster};
+use crate::{Context, Output, cache, peer, poison, roster};
 
 /// What a VM that shuts down refuses.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -26,14 +26,26 @@
     pub fence: &'a Fence,
     /// Targets.
     pub roster: &'a mut roster::State,
+    /// The other VMs, which share budgets and connections.
+    pub peers: &'a peer::State,
     /// What engines hold.
     pub cache: &'a mut cache::State,
     /// Strikes.
     pub poison: &'a mut poison::State,
     /// What is refused because this VM is about to stop.
     pub leaving: Leaving,
-    /// VMs that share budgets and connections.
-    pub vms: usize,
+}
+
+impl View<'_> {
+    /// Targets as they are seen from this VM now.
+    pub(super) fn glance<'a>(&'a self, ctx: &'a Context<'_>) -> roster::Glance<'a> {
+        roster::Glance {
+            data_centre: &ctx.me.data_centre,
+            others: self.peers.loads(),
+            complete: self.peers.is_complete(),
+            now: ctx.at,
+        }
+    }
 }
 
 /// One event being applied: its moment, what the other concerns know, and where
--- a/crates/gateway/src/roster/mod.rs
+++ b/crates/gateway/src/roster/mod.rs
@@ -17,6 +17,7 @@
 use briarshift_wire::beat::{Load, Mark, Strike, Trouble};
 
 use crate::limit::{MOVED, PROVISIONAL, REPORT_AGE, SUSPICION};
+use crate::peer::Loads;
 use crate::sync::Update;
 use crate::{Context, Effect, Output};
 
@@ -78,6 +79,18 @@
         fresh.map(|(report, _)| report)
     }
 
+    /// Requests that it holds from all VMs, and tokens still to be read there.
+    fn load(&self, glance: &Glance<'_>) -> (u32, u64) {
+        let told = glance.others.at(self.mark);
+        let counted = self.requests.saturating_add(told.requests);
+        let backlog = self.backlog.saturating_add(told.backlog);
+        if glance.complete {
+            return (counted, backlog);
+        }
+        let reported = self.report(glance.now).map_or(0, |report| report.running + report.waiting);
+        (counted.max(reported), backlog)
+    }
+
     fn takes_work(&self, now: Moment) -> bool {
         self.target.standing == Standing::Ready && self.ended.is_none() && !self.has_moved(now)
     }
@@ -95,15 +108,25 @@
     }
 }
 
+/// From where and when targets are looked at.
+#[derive(Debug, Clone, Copy)]
+pub struct Glance<'a> {
+    /// The VM's data centre.
+    pub data_centre: &'a DataCentre,
+    /// What peers told that they have.
+    pub others: &'a Loads,
+    /// Whether all peers are heard.
+    pub complete: bool,
+    /// The moment.
+    pub now: Moment,
+}
+
 /// All targets.
 #[derive(Debug, Default)]
 pub struct State {
     // Ordered, so that equal events give equal decisions.
     entries: BTreeMap<TargetId, Entry>,
-    /// Loads that peers told, by mark.
-    others: HashMap<Mark, Load>,
-    /// Whether all peers are heard.
-    complete: bool,
+    marks: HashMap<Mark, TargetId>,
     centres: centre::State,
 }
 
@@ -113,9 +136,9 @@
         self.entries.get(id)
     }
 
-    /// All targets.
-    pub fn all(&self) -> impl Iterator<Item = (&TargetId, &Entry)> {
-        self.entries.iter()
+    /// A target by its name in beats.
+    pub fn marked(&self, mark: Mark) -> Option<(&TargetId, &Entry)> {
+        self.entries.get_key_value(self.marks.get(&mark)?)
     }
 
     /// Targets that take new work.
@@ -168,7 +191,9 @@
     ) {
         let Some(entry) = self.entries.get_mut(id) else {
             out.log(registered(id, target, row.version));
-            self.entries.insert(id.clone(), Entry::new(id, target.clone(), row.version));
+            let entry = Entry::new(id, target.clone(), row.version);
+            self.marks.insert(entry.mark, id.clone());
+            self.entries.insert(id.clone(), entry);
             return;
         };
         // A row may repeat what is known, or be of an earlier start.
@@ -213,6 +238,7 @@
         strikes.extend(entry.struck(ctx.at));
         out.log(Record::new("target_gone").with("target", id).with("requests", entry.requests));
         out.push(Effect::Forget(entry.target.address));
+        self.marks.remove(&entry.mark);
         self.entries.remove(id);
     }
 
@@ -223,17 +249,12 @@
             if gone {
                 out.log(Record::new("target_gone").with("target", id).with("after", PROVISIONAL));
                 out.push(Effect::Forget(entry.target.address));
+                self.marks.remove(&entry.mark);
             }
             !gone
         });
     }
 
-    /// Replaces what the peers have at targets.
-    pub fn others(&mut self, loads: HashMap<Mark, Load>, complete: bool) {
-        self.others = loads;
-        self.complete = complete;
-    }
-
     /// Notes the data centres whose VMs are not heard, and since when.
     pub fn silent(&mut self, silent: BTreeMap<DataCentre, Moment>, out: &mut Output) {
         self.centres.silent(silent, out);
@@ -244,15 +265,15 @@
     /// is left.
     pub fn seats<'a>(
         &'a self,
+        glance: &Glance<'_>,
         pool: &PoolId,
-        data_centre: &DataCentre,
         tried: &[TargetId],
-        now: Moment,
     ) -> Vec<Seat<'a>> {
+        let now = glance.now;
         let of_pool = |(id, entry): &(&'a TargetId, &'a Entry)| {
             entry.target.pool == *pool && !tried.contains(id)
         };
-        let seat = |(id, entry): (&'a TargetId, &'a Entry)| self.seat(id, entry, data_centre, now);
+        let seat = |(id, entry): (&'a TargetId, &'a Entry)| self.seat(glance, id, entry);
         let all = self.entries.iter().filter(of_pool);
         let sure: Vec<_> =
             all.clone().filter(|(_, entry)| entry.takes_work(now)).map(seat).collect();
@@ -265,19 +286,13 @@
         all.filter(unsure).map(seat).collect()
     }
 
-    fn seat<'a>(
-        &self,
-        id: &'a TargetId,
-        entry: &'a Entry,
-        data_centre: &DataCentre,
-        now: Moment,
-    ) -> Seat<'a> {
-        let (load, backlog) = self.load(entry, now);
+    fn seat<'a>(&self, glance: &Glance<'_>, id: &'a TargetId, entry: &'a Entry) -> Seat<'a> {
+        let Glance { data_centre, now, .. } = *glance;
+        let (load, backlog) = entry.load(glance);
         Seat {
             name: id.as_str(),
             load,
             backlog,
-            held: 0,
             slots: entry.target.slots,
             near: entry.target.data_centre == *data_centre,
             sound: !entry.health.is_paused(now) && !self.centres.is_cut(&entry.target.data_centre),
@@ -285,19 +300,6 @@
         }
     }
 
-    /// Requests at a target from all VMs, and tokens still to be read there.
-    pub fn load(&self, entry: &Entry, now: Moment) -> (u32, u64) {
-        let others = self.others.get(&entry.mark);
-        let told = others.map_or(0, |load| load.requests);
-        let backlog = entry.backlog + others.map_or(0, |load| load.backlog);
-        let counted = entry.requests + told;
-        if self.complete {
-            return (counted, backlog);
-        }
-        let reported = entry.report(now).map_or(0, |report| report.running + report.waiting);
-        (counted.max(reported), backlog)
-    }
-
     /// A request goes to a target, with prompt tokens to read.
     pub fn sent(&mut self, id: &TargetId, tokens: u64) {
         if let Some(entry) = self.entries.get_mut(id) {
@@ -377,9 +379,13 @@
 
     /// A peer told of targets that failed it.
     pub fn told(&mut self, troubles: &[Trouble], now: Moment) {
-        for trouble in troubles {
-            let told = |entry: &&mut Entry| entry.mark == trouble.target;
-            for entry in self.entries.values_mut().filter(told) {
+        if troubles.is_empty() {
+            return;
+        }
+        let troubles: HashMap<_, _> =
+            troubles.iter().map(|trouble| (trouble.target, trouble)).collect();
+        for entry in self.entries.values_mut() {
+            if let Some(trouble) = troubles.get(&entry.mark) {
                 entry.health.told(trouble.failures, trouble.down, now);
             }
         }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -117,7 +117,6 @@
                 strikes: self.poison.to_tell(),
             };
             self.peers.beat(ctx, news, out);
-            self.roster.others(self.peers.loads(), self.peers.is_complete());
             self.roster.silent(self.peers.silent(ctx.at), out);
         }
     }
@@ -128,10 +127,10 @@
             catalog: self.sync.catalog(),
             fence: self.sync.fence(),
             roster: &mut self.roster,
+            peers: &self.peers,
             cache: &mut self.cache,
             poison: &mut self.poison,
             leaving,
-            vms: self.peers.vms(),
         };
         self.requests.apply(ctx, &mut view, event, out);
     }
@@ -180,7 +179,6 @@
         for strike in heard.strikes {
             self.poison.told(ctx, strike, out);
         }
-        self.roster.others(self.peers.loads(), self.peers.is_complete());
     }
 
     fn settings(&mut self, ctx: &Context<'_>, bounds: Bounds, out: &mut Output) {
--- a/crates/gateway/tests/all/main.rs
+++ b/crates/gateway/tests/all/main.rs
@@ -3,6 +3,7 @@
 mod delegate;
 mod drain;
 mod kinds;
+mod load;
 mod poison;
 mod prompt;
 mod random;
--- a/crates/gateway/tests/all/prompt.rs
+++ b/crates/gateway/tests/all/prompt.rs
@@ -4,9 +4,12 @@
 
 use briarshift_gateway::Kind;
 use briarshift_gateway::request::{End, Event as Request, Send};
-use briarshift_store::registry::Name;
+use briarshift_routing::cache::chains;
+use briarshift_store::registry::{Name, Target, Value};
+use briarshift_wire::beat::{Mark, Placement};
+use briarshift_wire::datagram::Datagram;
 
-use crate::world::{World, leaving, prompt, sent};
+use crate::world::{World, beat, leaving, member, prompt, sent, target};
 
 const ENGINES: [&str; 8] = ["e-1", "e-2", "e-3", "e-4", "e-5", "e-6", "e-7", "e-8"];
 
@@ -52,6 +55,46 @@
     assert_eq!(next.fetch, Some(first.address));
 }
 
+/// One engine of each data centre holds a prompt's parts: whichever other one
+/// the prompt goes to, the transfer stays within its data centre.
+#[test]
+fn parts_are_fetched_within_a_data_centre_if_held_there() {
+    let mut world = World::new(&["a-1", "a-2"]);
+    for id in ["b-1", "b-2"] {
+        let Value::Target(target) = target(id, "desk") else { unreachable!() };
+        let far = Target { data_centre: "b".parse().unwrap(), ..target };
+        world.change(Name::Target(id.parse().unwrap()), Some(Value::Target(far)));
+    }
+    world.change(Name::Member("vm-2".parse().unwrap()), Some(member("vm-2")));
+    let mut fetched = 0;
+    for second in 0..40 {
+        world.apply(placed(second, &["a-2", "b-2"]));
+        let send = ask(&mut world, 1, second);
+        let holder = match send.target.as_str() {
+            "a-1" => Some("a-2"),
+            "b-1" => Some("b-2"),
+            _ => None,
+        };
+        let holder = holder.map(|id| world.state.roster().get(&id.parse().unwrap()).unwrap());
+        assert_eq!(send.fetch, holder.map(|entry| entry.target.address));
+        fetched += usize::from(send.fetch.is_some());
+        finish(&mut world, &send);
+        world.pass(50);
+    }
+    assert!(5 < fetched, "{fetched}");
+}
+
+/// A peer's beat: a prompt has gone to these engines.
+fn placed(second: u64, engines: &[&str]) -> Kind {
+    let Kind::Peer(Datagram::Beat(mut beat)) = beat("vm-2", second + 1) else { unreachable!() };
+    let chains = chains(&prompt(1, second)[..2]);
+    let parts: Vec<_> = chains.iter().map(|(chain, tokens)| (chain.0, *tokens)).collect();
+    let placement = |id: &&str| Placement { target: Mark::of(id), parts: parts.clone() };
+    beat.placements = engines.iter().map(placement).collect();
+    beat.placed = 2 * (second + 1);
+    Kind::Peer(Datagram::Beat(beat))
+}
+
 /// Replays a prompt that gets most of the traffic at once, on top of others:
 /// the most loaded engine stays within the bound that operators promise.
 #[test]
--- a/crates/gateway/tests/all/world.rs
+++ b/crates/gateway/tests/all/world.rs
@@ -84,7 +84,9 @@
                 Effect::Decide { request, decision } => self.decisions.push((request, decision)),
                 Effect::Call(call) => self.calls.push(call),
                 Effect::Drained => self.drained = true,
-                Effect::Send { datagram, .. } => self.sent.push(datagram),
+                Effect::Send { datagram, .. } | Effect::Broadcast { datagram, .. } => {
+                    self.sent.push(datagram);
+                }
                 _ => {}
             }
         }
--- a/crates/routing/src/cache.rs
+++ b/crates/routing/src/cache.rs
@@ -90,6 +90,11 @@
         parts.iter().take_while(held).map(|(_, tokens)| u64::from(*tokens)).sum()
     }
 
+    /// Whether it holds a part, used lately or not.
+    pub fn has(&self, chain: Chain) -> bool {
+        self.parts.contains_key(&chain)
+    }
+
     /// Whether it holds nothing.
     pub fn is_empty(&self) -> bool {
         self.parts.is_empty()
--- a/crates/routing/src/seat.rs
+++ b/crates/routing/src/seat.rs
@@ -11,6 +11,7 @@
 //! is nearly idle, else the less loaded of two that are drawn from all.
 
 use std::cmp::Reverse;
+use std::collections::BinaryHeap;
 
 use briarshift_units::ChatKey;
 
@@ -43,8 +44,6 @@
     pub load: u32,
     /// Prompt tokens that it has still to read.
     pub backlog: u64,
-    /// Tokens of the request's shared parts that it holds.
-    pub held: u64,
     /// Requests that it runs at once.
     pub slots: u32,
     /// Whether it stands in this data centre.
@@ -77,7 +76,11 @@
     pub share: f64,
 }
 
-/// The engine for a prompt. `None` if there is no seat.
+/// The engine for a prompt, where `held` tells how many tokens of its shared
+/// parts an engine holds. `None` if there is no seat.
+///
+/// Engines are looked at in the order of their ranks only as far as needed: a
+/// request is placed among thousands of them.
 ///
 /// # Examples
 ///
@@ -85,37 +88,49 @@
 /// use briarshift_routing::seat::{Bound, Prompt, Seat, engine};
 /// use briarshift_units::ChatKey;
 /// let seat = |name, load| {
-///     Seat { name, load, backlog: 0, held: 0, slots: 6, near: true, sound: true, errors: 0.0 }
+///     Seat { name, load, backlog: 0, slots: 6, near: true, sound: true, errors: 0.0 }
 /// };
 /// let bound = Bound { factor: 1.5, extra: 1, backlog: 9_000 };
 /// let prompt = Prompt { key: ChatKey(7), tokens: 600, share: 0.01 };
 /// let idle = [seat("a", 0), seat("b", 0)];
-/// let first = engine(&idle, &prompt, &bound, 1).unwrap();
+/// let none = |_: &Seat<'_>| 0;
+/// let first = engine(&idle, &prompt, &bound, none, 1).unwrap();
 /// let mut busy = idle;
 /// busy[first].load = 9;
-/// assert_ne!(engine(&busy, &prompt, &bound, 1), Some(first));
+/// assert_ne!(engine(&busy, &prompt, &bound, none, 1), Some(first));
 /// ```
-pub fn engine(seats: &[Seat<'_>], prompt: &Prompt, bound: &Bound, entropy: u64) -> Option<usize> {
+pub fn engine<'a>(
+    seats: &[Seat<'a>],
+    prompt: &Prompt,
+    bound: &Bound,
+    held: impl Fn(&Seat<'a>) -> u64,
+    entropy: u64,
+) -> Option<usize> {
     let usable = usable(seats);
     let load: u32 = usable.iter().map(|&seat| seats[seat].load).sum();
     let mean = f64::from(load + 1) / usable.len().max(1) as f64;
     let most = (bound.factor * mean).floor() as u32 + bound.extra;
     let replicas = replicas(prompt.share, load, usable.len());
-    let unread = |seat: &Seat<'_>| prompt.tokens.saturating_sub(seat.held);
-    let fits = |&seat: &usize| {
-        let seat = &seats[seat];
-        let reads = seat.backlog == 0 || seat.backlog + unread(seat) <= bound.backlog;
-        seat.load < most && reads
-    };
-    let ranked = ranked(seats, usable, prompt.key);
-    let fitting: Vec<_> = ranked.iter().copied().filter(fits).collect();
-    let first = &fitting[..replicas.min(fitting.len())];
-    cheaper(first, entropy, |seat| f64::from(seats[seat].load)).or_else(|| {
+    let to_read = |seat: &Seat<'a>| seat.backlog + prompt.tokens.saturating_sub(held(seat));
+    let reads = |seat: &Seat<'a>| seat.backlog == 0 || to_read(seat) <= bound.backlog;
+    let score = |seat: usize| rank::score(prompt.key, seats[seat].name);
+    let open = usable.iter().copied().filter(|&seat| seats[seat].load < most);
+    // Equal scores go by the order of the seats.
+    let mut open: BinaryHeap<_> = open.map(|seat| (score(seat), Reverse(seat))).collect();
+    let mut first = Vec::with_capacity(replicas);
+    while first.len() < replicas
+        && let Some((_, Reverse(seat))) = open.pop()
+    {
+        if reads(&seats[seat]) {
+            first.push(seat);
+        }
+    }
+    cheaper(&first, entropy, |seat| f64::from(seats[seat].load)).or_else(|| {
         let cost = |&seat: &usize| {
-            let seat = &seats[seat];
-            (most <= seat.load, seat.backlog + unread(seat), seat.load)
+            let Seat { load, .. } = seats[seat];
+            (most <= load, to_read(&seats[seat]), load, Reverse(score(seat)))
         };
-        ranked.into_iter().min_by_key(cost)
+        usable.into_iter().min_by_key(cost)
     })
 }
 
@@ -126,7 +141,7 @@
 /// ```
 /// use briarshift_routing::seat::{Seat, runner};
 /// let seat = |name, load, near| {
-///     Seat { name, load, backlog: 0, held: 0, slots: 6, near, sound: true, errors: 0.0 }
+///     Seat { name, load, backlog: 0, slots: 6, near, sound: true, errors: 0.0 }
 /// };
 /// assert_eq!(runner(&[seat("a", 1, true), seat("b", 0, false)], 3), Some(0));
 /// assert_eq!(runner(&[seat("a", 5, true), seat("b", 0, false)], 1 << 32), Some(1));
@@ -162,9 +177,3 @@
     let sound: Vec<_> = (0..seats.len()).filter(|&seat| seats[seat].sound).collect();
     if sound.is_empty() { (0..seats.len()).collect() } else { sound }
 }
-
-/// Seats in the order in which a prompt's last shared part prefers them.
-fn ranked(seats: &[Seat<'_>], mut usable: Vec<usize>, key: ChatKey) -> Vec<usize> {
-    usable.sort_by_cached_key(|&seat| Reverse(rank::score(key, seats[seat].name)));
-    usable
-}
