Tell askers what a delegate's new read has changed

Change: what a new read changes is kept as changes, deletions too.

Test: delegate::a_delegate_that_read_anew_tells_what_has_changed (told nothing before).

--- a/crates/gateway/src/sync/journal.rs
+++ b/crates/gateway/src/sync/journal.rs
@@ -2,7 +2,7 @@
 //!
 //! Targets write their rows again and again; only what differs is a change.
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::{HashMap, HashSet, VecDeque};
 
 use briarshift_store::Version;
 use briarshift_store::registry::{Name, Row, Value};
@@ -22,23 +22,41 @@
     /// changed something. If they are `whole`, what is not among them is gone,
     /// and all of them are returned.
     pub(super) fn take(&mut self, mut rows: Vec<Row>, whole: bool, version: Version) -> Vec<Row> {
+        rows.sort_by_key(|row| row.version);
         if whole {
-            self.changes.clear();
-            self.known.clear();
-            self.complete = Some(version);
-            let known = |row: &Row| Some((row.name.clone(), row.value.clone()?));
-            self.known.extend(rows.iter().filter_map(known));
-            return rows;
+            self.replace(&rows, version);
+        } else {
+            // One after another: a row may be deleted and written again as it was.
+            rows.retain(|row| self.note(row));
         }
-        rows.sort_by_key(|row| row.version);
-        // One after another: a row may be deleted and written again as it was.
-        rows.retain(|row| self.note(row));
         while CHANGES_KEPT < self.changes.len() {
             self.complete = self.changes.pop_front().map(|row| row.version);
         }
         rows
     }
 
+    /// Takes in all rows that there are. What they changed can be told to askers
+    /// as before: a store that has dropped its history must not send them all to
+    /// read it anew.
+    fn replace(&mut self, rows: &[Row], version: Version) {
+        if self.complete.is_none() {
+            self.complete = Some(version);
+            let known = |row: &Row| Some((row.name.clone(), row.value.clone()?));
+            self.known.extend(rows.iter().filter_map(known));
+            return;
+        }
+        let named: HashSet<_> = rows.iter().map(|row| &row.name).collect();
+        let mut gone: Vec<_> =
+            self.known.keys().filter(|name| !named.contains(name)).cloned().collect();
+        gone.sort();
+        for row in rows {
+            self.note(row);
+        }
+        for name in gone {
+            self.note(&Row { name, version, value: None });
+        }
+    }
+
     /// Takes in one row; whether it changed something.
     fn note(&mut self, row: &Row) -> bool {
         if self.known.get(&row.name) == row.value.as_ref() {
--- a/crates/gateway/tests/all/delegate.rs
+++ b/crates/gateway/tests/all/delegate.rs
@@ -2,12 +2,13 @@
 
 use briarshift_gateway::Kind;
 use briarshift_gateway::request::Cause;
+use briarshift_store::Error;
 use briarshift_store::registry::{Call, Name, Value};
 use briarshift_units::{Moment, Span};
 use briarshift_wire::datagram::Datagram;
 use briarshift_wire::sync::{Ask, Tell};
 
-use crate::world::{World, beat, catalog, member, refused, sent};
+use crate::world::{World, beat, catalog, changes, member, refused, sent};
 
 const PEERS: [&str; 4] = ["vm-2", "vm-3", "vm-4", "vm-5"];
 
@@ -202,6 +203,26 @@
     assert!(world.calls.iter().any(|call| matches!(call, Call::Changes { .. })));
 }
 
+/// Replays a store that drops its history: a delegate reads everything anew, and
+/// what others lack can still be told, so that they need not read it too.
+#[test]
+fn a_delegate_that_read_anew_tells_what_has_changed() {
+    let mut world = World::new(&["t-1", "t-2"]);
+    world.change(Name::Member("vm-2".parse().unwrap()), Some(member("vm-2")));
+    world.apply(beat("vm-2", 1));
+    let after = world.version();
+    world.answer(changes(), Err(Error::Compacted));
+    world.read_only(&["t-2", "t-3"]);
+    let ask = Ask { from: "vm-2".parse().unwrap(), at: Moment(77), after };
+    world.apply(Kind::Peer(Datagram::Ask(ask)));
+    let Some(Datagram::Tell(tell)) = world.sent.last() else { panic!() };
+    let rows = tell.rows.as_ref().unwrap().iter();
+    let told: Vec<_> = rows.map(|row| (row.name.to_string(), row.value.is_some())).collect();
+    let expected = [("target:t-3", true), ("target:t-1", false), ("member:vm-2", false)];
+    let expected = expected.map(|(name, is_there)| (name.to_owned(), is_there));
+    assert_eq!(told, expected);
+}
+
 #[test]
 fn an_ask_is_answered_with_the_age_of_the_news() {
     let mut world = World::new(&["t-1"]);
--- a/crates/gateway/tests/all/world.rs
+++ b/crates/gateway/tests/all/world.rs
@@ -132,6 +132,11 @@
         self.answer(changes(), Err(Error::Refused("503".into())));
     }
 
+    /// The store's version.
+    pub fn version(&self) -> u64 {
+        self.version
+    }
+
     fn row(&mut self, name: Name, value: Option<Value>) -> Row {
         self.version += 1;
         Row { name, version: Version(self.version), value }
