Spare a store that fails the calls of a whole data centre

In an outage each of 91 VMs turns to it as its delegate's news grows old, and every 2.5 s again.

Change: two backups a data centre take over at once from delegates that have only old news; the others ask these. While all of them answer that the store fails them, the rest turn to it one after the other, an ask's pause apart. A VM that nobody answers turns to it at the same age as before.

Ruled out: waiting for a delegate without end (a cut between a VM and its neighbours must not cost it the store); trusting one backup only (a third of the VMs may be turned away).

Test: delegate::an_outage_does_not_send_all_vms_to_the_store_at_once (all at once before).

--- a/crates/gateway/src/limit.rs
+++ b/crates/gateway/src/limit.rs
@@ -30,6 +30,13 @@
 pub const VMS_PER_DELEGATE: usize = 16;
 /// Most delegates of a data centre.
 pub const MOST_DELEGATES: usize = 3;
+/// VMs of a data centre that turn to the store as soon as its delegates have only
+/// old news: with two of them three machines must be cut off before more do.
+pub const BACKUPS: usize = 2;
+/// While delegates and backups say that the store fails them, all others turn to
+/// it one after the other, this much apart: the pause between two asks, after
+/// which a VM that was served has told the next.
+pub const OWN_STEP: Span = ASK_PAUSE;
 /// Pause after a call to the store that failed, at a VM that has delegates:
 /// these try more often, and tell it when the store is back.
 pub const OWN_RETRY: Span = Span::from_millis(2_500);
--- a/crates/gateway/src/peer/mod.rs
+++ b/crates/gateway/src/peer/mod.rs
@@ -5,6 +5,7 @@
 //! beats alone; the store only says where it listens.
 
 mod load;
+mod order;
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -16,13 +17,12 @@
 use briarshift_wire::beat::{Beat, Load, Placement, Strike, Trouble};
 use briarshift_wire::datagram::Datagram;
 
-use crate::limit::{
-    BEAT, BEAT_PER_PEER, CENTRE_SILENT, MISSED_BEATS, MOST_DELEGATES, NEWS_AGE, VMS_PER_DELEGATE,
-};
+use crate::limit::{BEAT, BEAT_PER_PEER, CENTRE_SILENT, MISSED_BEATS, NEWS_AGE};
 use crate::sync::Update;
 use crate::{Context, Effect, Identity, Output};
 
 pub use load::Loads;
+pub use order::Order;
 
 /// Names the duty in the ranking of VMs.
 const DELEGATES_KEY: ChatKey = ChatKey(0);
@@ -224,15 +224,13 @@
         self.peers.get(vm).map(|peer| peer.member.address)
     }
 
-    /// The VMs of this data centre that read the store for the others: the
-    /// first ones that are heard, in an order that all agree on.
-    pub fn delegates(&self, me: &Identity) -> Vec<VmId> {
+    /// The VMs of this data centre that are heard, and this one, in the order in
+    /// which they read the store for the others.
+    pub fn order(&self, me: &Identity) -> Order {
         let near = |peer: &&Peer| peer.alive && peer.member.data_centre == me.data_centre;
         let peers = self.peers.values().filter(near).map(|peer| peer.member.vm.clone());
         let all: Vec<_> = peers.chain([me.vm.clone()]).collect();
-        let mut order = rank::order(DELEGATES_KEY, all, VmId::as_str);
-        order.truncate((1 + order.len() / VMS_PER_DELEGATE).min(MOST_DELEGATES));
-        order
+        Order::new(&me.vm, rank::order(DELEGATES_KEY, all, VmId::as_str))
     }
 
     /// The peer of any data centre with the youngest news of the store, if that
--- a/crates/gateway/src/sync/mod.rs
+++ b/crates/gateway/src/sync/mod.rs
@@ -7,8 +7,9 @@
 //! question was sent.
 //!
 //! A few VMs of each data centre, the delegates, ask the store; the others ask
-//! them. A VM whose delegates don't answer, or have old news, asks the store
-//! itself, so that no VM depends on another.
+//! them. Where these have only old news, two backups turn to the store at once
+//! and the others ask the backups. A VM that nobody answers, or nobody can tell,
+//! asks the store itself, so that no VM depends on another.
 //!
 //! The configuration never goes back: an older version is logged and ignored,
 //! whatever an answer says.
@@ -31,7 +32,7 @@
 use self::journal::Journal;
 use self::lease::Registration;
 use crate::limit::{
-    ASK_PAUSE, ASK_TIMEOUT, FAILURE_LOGGED, NEWS_AGE, OWN_AGE, OWN_RETRY, STORE_TROUBLE,
+    ASK_PAUSE, ASK_TIMEOUT, FAILURE_LOGGED, NEWS_AGE, OWN_AGE, OWN_RETRY, OWN_STEP, STORE_TROUBLE,
     SYNC_PAUSE, SYNC_RETRY,
 };
 use crate::{Context, Effect, Output, peer};
@@ -153,7 +154,7 @@
             self.waiting = Waiting::Store;
             return out.push(Effect::Call(Call::Read { newest: self.compacted }));
         };
-        if let Some((vm, address)) = self.delegate(ctx, peers) {
+        if let Some((vm, address)) = self.source(ctx, peers) {
             let ask = Ask { from: ctx.me.vm.clone(), at: ctx.at, after: after.0 };
             self.waiting = Waiting::Peer { vm, at: ctx.at };
             return out.push(Effect::Send { address, datagram: Datagram::Ask(ask) });
@@ -162,29 +163,40 @@
         out.push(Effect::Call(Call::Changes { after, wait: Span::ZERO }));
     }
 
-    /// The delegate to ask; `None` if this VM is one, or must ask the store
-    /// itself: its delegates' news is old, or can't be told. While the store
-    /// itself has just failed, delegates are asked all the same, as they try it
-    /// more often.
-    fn delegate(&self, ctx: &Context<'_>, peers: &peer::State) -> Option<(VmId, SocketAddr)> {
-        let age = self.fence.confirmed().map(|at| ctx.at.since(at));
-        let is_late = age.is_none_or(|age| OWN_AGE <= age);
+    /// The peer to ask; `None` if this VM must ask the store itself: it is a
+    /// delegate, or the delegates' news is old or can't be told. While the store
+    /// has just failed this VM, peers are asked all the same.
+    fn source(&self, ctx: &Context<'_>, peers: &peer::State) -> Option<(VmId, SocketAddr)> {
+        let order = peers.order(ctx.me);
         let failed = self.tried.is_some_and(|at| ctx.at.since(at) < OWN_RETRY);
-        if self.behind || ((self.late || is_late) && !failed) {
+        if self.behind || (!failed && self.must_read(ctx, &order)) {
             return None;
         }
-        // Turned away by the store: a VM anywhere that is not can tell.
-        if failed && let Some((vm, address)) = peers.freshest(ctx.at) {
-            return Some((vm, address));
+        // A VM anywhere that the store does not turn away can tell.
+        if (failed || self.late)
+            && let Some(fresh) = peers.freshest(ctx.at)
+        {
+            return Some(fresh);
         }
-        let delegates = peers.delegates(ctx.me);
-        if delegates.contains(&ctx.me.vm) {
+        if order.is_delegate() {
             return None;
         }
-        let mut sound = delegates.into_iter().filter(|vm| Some(vm) != self.failed.as_ref());
-        let vm = sound.next()?;
-        let address = peers.address(&vm)?;
-        Some((vm, address))
+        let asked = if self.late { order.backups() } else { order.delegates() };
+        let is_sound = |vm: &&VmId| **vm != ctx.me.vm && Some(*vm) != self.failed.as_ref();
+        let vm = asked.iter().chain(order.delegates()).find(is_sound)?;
+        Some((vm.clone(), peers.address(vm)?))
+    }
+
+    /// Whether this VM may not wait for others any longer.
+    fn must_read(&self, ctx: &Context<'_>, order: &peer::Order) -> bool {
+        let age = self.fence.confirmed().map(|at| ctx.at.since(at));
+        let Some(behind) = order.behind() else {
+            return self.late || age.is_none_or(|age| OWN_AGE <= age);
+        };
+        // Peers that answer that the store fails them spare it this VM's call.
+        let is_outage = self.late && self.is_troubled(ctx.at);
+        let step = if is_outage { OWN_STEP.0 * (behind as u64 + 1) } else { 0 };
+        age.is_none_or(|age| OWN_AGE + Span(step) <= age)
     }
 
     /// Answers another VM's question, if this one knows enough.
@@ -217,9 +229,10 @@
             self.behind = true;
             return None;
         };
-        self.late = NEWS_AGE < tell.age;
-        // A store that has just failed this VM is not asked again at once.
-        let turns = self.late && self.tried.is_none();
+        let was_late = std::mem::replace(&mut self.late, NEWS_AGE < tell.age);
+        // A store that has just failed this VM is not asked again at once, nor
+        // are backups that have old news too.
+        let turns = self.late && !was_late && self.tried.is_none();
         self.next = if turns { ctx.at } else { tell.at + ASK_PAUSE };
         // What was newest `age` before the answer was newest `age` before the
         // question.
--- a/crates/gateway/tests/all/delegate.rs
+++ b/crates/gateway/tests/all/delegate.rs
@@ -40,6 +40,21 @@
     panic!("all five VMs read the store");
 }
 
+/// When the asks were sent that wait for an answer.
+fn asks(world: &World) -> Vec<Moment> {
+    let asks = world.sent.iter().filter_map(|datagram| match datagram {
+        Datagram::Ask(ask) => Some(ask.at),
+        _ => None,
+    });
+    asks.collect()
+}
+
+/// An answer without changes, and of this age, from a VM that the store fails.
+fn old(from: &str, at: Moment, age: Span) -> Tell {
+    let from = from.parse().unwrap();
+    Tell { from, at, version: 12, age, troubled: true, rows: Some(Vec::new()) }
+}
+
 fn delegate(world: &World) -> String {
     // The world answers for whichever VM was asked.
     let line = world.log.iter().rev().find(|line| line.starts_with("event=delegate_silent"));
@@ -107,20 +122,62 @@
 fn old_news_sends_the_asker_to_the_store_at_once() {
     let (mut world, ask) = asker();
     for vm in ["vm-1"].iter().chain(&PEERS) {
-        let tell = Tell {
-            from: vm.parse().unwrap(),
-            at: ask.at,
-            version: 12,
-            age: Span::from_millis(1_200),
-            troubled: true,
-            rows: Some(Vec::new()),
-        };
+        let tell = old(vm, ask.at, Span::from_millis(1_200));
         world.apply(Kind::Peer(Datagram::Tell(tell)));
     }
     world.tick();
     assert!(world.calls.iter().any(|call| matches!(call, Call::Changes { .. })));
 }
 
+/// When a VM among eight of a data centre turns to the store, while all that it
+/// asks say that the store has failed them since the beginning.
+fn turns(me: &str) -> Option<Moment> {
+    let mut world = World::empty(me);
+    world.tick();
+    world.read(&["t-1"]);
+    let begin = world.now;
+    let peers = EIGHT.iter().filter(|vm| **vm != me);
+    for vm in peers.clone() {
+        world.change(Name::Member(vm.parse().unwrap()), Some(member(vm)));
+    }
+    world.calls.clear();
+    for step in 1..100 {
+        for vm in peers.clone() {
+            world.apply(beat(vm, step));
+        }
+        world.sent.clear();
+        world.tick();
+        if world.calls.iter().any(|call| matches!(call, Call::Changes { .. })) {
+            return Some(Moment(world.now.0 - begin.0));
+        }
+        for at in asks(&world) {
+            for vm in peers.clone() {
+                let age = Span(at.0 - begin.0);
+                world.apply(Kind::Peer(Datagram::Tell(old(vm, at, age))));
+            }
+        }
+        world.pass(50);
+    }
+    None
+}
+
+const EIGHT: [&str; 8] = ["vm-1", "vm-2", "vm-3", "vm-4", "vm-5", "vm-6", "vm-7", "vm-8"];
+
+/// Replays an outage of the store: 91 VMs each turned to it as their news grew
+/// old, and again and again. Now the delegate and two backups do, and the others
+/// one after the other.
+#[test]
+fn an_outage_does_not_send_all_vms_to_the_store_at_once() {
+    let mut turns: Vec<_> = EIGHT.iter().filter_map(|vm| turns(vm)).collect();
+    turns.sort();
+    assert_eq!(turns.len(), 8);
+    // The delegate at its next turn, the backups when its news is old.
+    assert!(turns[2] <= Moment(1_600_000), "{turns:?}");
+    for pair in turns[2..].windows(2) {
+        assert!(Span::from_millis(200) <= pair[1].since(pair[0]), "{turns:?}");
+    }
+}
+
 /// Replays a store whose leases lapsed: a delegate tells at once that a target's
 /// row was deleted and written again as it was, and the target must stay.
 #[test]
@@ -166,11 +223,7 @@
         if world.calls.iter().any(|call| matches!(call, Call::Changes { .. })) {
             world.fail();
         }
-        let asks = world.sent.clone().into_iter().filter_map(|datagram| match datagram {
-            Datagram::Ask(ask) => Some(ask.at),
-            _ => None,
-        });
-        for at in asks.collect::<Vec<_>>() {
+        for at in asks(&world) {
             let tell = Tell {
                 from: "vm-2".parse().unwrap(),
                 at,
