Let a starting VM be heard within one read of the store

Change: a VM announces itself first and writes the secret at a drawn moment, if no other has by then. One that hears nobody beats as soon as it knows a peer, and a peer that is heard for the first time is answered with the last beat.

Ruled out: all VMs beating at once for each new VM (on 10 Mbit/s links their beats would queue); no lease for registrations (rows of lost VMs would stay).

Tests: start (each failed before).

--- a/crates/gateway/src/limit.rs
+++ b/crates/gateway/src/limit.rs
@@ -18,6 +18,9 @@
 pub const LEASE: Span = Span::from_secs(30);
 /// A lease is renewed after this part of its time.
 pub const LEASE_PARTS: u64 = 3;
+/// The VMs of a new fleet write its secret at a moment drawn from this time: a
+/// few pauses between reads, so that most find it written by then.
+pub const FOUND_SPREAD: Span = Span::from_secs(4);
 /// A store is in trouble for this long after a call that failed: registrations
 /// that ended meanwhile are written again within two seconds of its return.
 pub const STORE_TROUBLE: Span = Span::from_millis(3_000);
--- a/crates/gateway/src/peer/mod.rs
+++ b/crates/gateway/src/peer/mod.rs
@@ -93,6 +93,8 @@
     loads: Loads,
     sequence: u64,
     next: Moment,
+    /// The last beat, for peers that are heard for the first time.
+    last: Option<Beat>,
 }
 
 impl State {
@@ -132,6 +134,10 @@
                 Some(_) => {}
             }
         }
+        // A VM that hears nobody lets itself be heard at once.
+        if !self.peers.values().any(|peer| peer.alive) {
+            self.next = self.next.min(ctx.at);
+        }
     }
 
     fn put(&mut self, vm: &VmId, member: &Member, out: &mut Output) {
@@ -159,6 +165,10 @@
         let before = known.filter(|known| known.start == start).map_or(0, |known| known.placed);
         if !peer.alive {
             out.log(Record::new("peer_heard").with("peer", &from));
+            if let Some(last) = &self.last {
+                let (address, datagram) = (peer.member.address, Datagram::Beat(last.clone()));
+                out.push(Effect::Send { address, datagram });
+            }
         }
         self.loads.remove(peer.loads());
         self.loads.add(&loads);
@@ -191,6 +201,7 @@
             strikes: news.strikes,
         };
         let addresses = self.peers.values().map(|peer| peer.member.address).collect();
+        self.last = Some(beat.clone());
         out.push(Effect::Broadcast { addresses, datagram: Datagram::Beat(beat) });
         self.notice(ctx, Span(pause.0 * MISSED_BEATS), out);
     }
--- a/crates/gateway/src/sync/lease.rs
+++ b/crates/gateway/src/sync/lease.rs
@@ -4,7 +4,7 @@
 use briarshift_store::{Error, LeaseId};
 use briarshift_units::{Moment, Span};
 
-use crate::limit::{LEASE, LEASE_PARTS, LEASE_RETRY, SYNC_PAUSE};
+use crate::limit::{FOUND_SPREAD, LEASE, LEASE_PARTS, LEASE_RETRY, SYNC_PAUSE};
 use crate::{Context, Effect, Output};
 
 /// Where the registration stands.
@@ -28,6 +28,8 @@
     calling: bool,
     left: bool,
     next: Moment,
+    /// When this VM writes the fleet's secret, if no other has by then.
+    found: Option<Moment>,
 }
 
 impl Registration {
@@ -36,17 +38,29 @@
         if self.calling || self.left || ctx.at < self.next {
             return;
         }
-        let call = match self.lease {
-            _ if !has_secret => Call::Found { secret: ctx.me.secret.clone() },
-            Lease::None => Call::Grant { ttl: LEASE },
-            Lease::Granted { id, .. } => Call::Announce { member: ctx.me.member(), lease: id },
-            Lease::Announced { id, renew } if renew <= ctx.at => Call::Renew { lease: id },
-            Lease::Announced { .. } => return,
-        };
+        let Some(call) = self.due(ctx, has_secret) else { return };
         self.calling = true;
         out.push(Effect::Call(call));
     }
 
+    /// A VM says where it is before anything else: until its neighbours hear it,
+    /// it asks the store all that it could ask them.
+    fn due(&mut self, ctx: &Context<'_>, has_secret: bool) -> Option<Call> {
+        match self.lease {
+            Lease::None => Some(Call::Grant { ttl: LEASE }),
+            Lease::Granted { id, .. } => {
+                Some(Call::Announce { member: ctx.me.member(), lease: id })
+            }
+            Lease::Announced { id, renew } if renew <= ctx.at => Some(Call::Renew { lease: id }),
+            Lease::Announced { .. } if has_secret => None,
+            Lease::Announced { .. } => {
+                let turn = ctx.at + Span(ctx.entropy % FOUND_SPREAD.0);
+                let turn = *self.found.get_or_insert(turn);
+                (turn <= ctx.at).then(|| Call::Found { secret: ctx.me.secret.clone() })
+            }
+        }
+    }
+
     /// Ends the registration.
     pub(super) fn leave(&mut self, out: &mut Output) {
         if let Lease::Granted { id, .. } | Lease::Announced { id, .. } = self.lease {
@@ -74,20 +88,23 @@
             (Call::Announce { .. }, Ok(_)) => {
                 if let Lease::Granted { id, renew } = self.lease {
                     self.lease = Lease::Announced { id, renew };
-                    self.next = renew;
+                    self.next = ctx.at;
                 }
             }
             (Call::Renew { lease }, Ok(Answer::Leased(granted))) => {
                 let renew = sent + Span(granted.ttl.0 / LEASE_PARTS);
                 self.lease = Lease::Announced { id: *lease, renew };
-                self.next = renew;
+                self.next = ctx.at;
             }
             (_, Err(Error::LeaseEnded)) => {
                 self.lease = Lease::None;
                 self.next = ctx.at;
             }
             // The secret comes with the next read, whoever made it.
-            (Call::Found { .. }, _) => self.next = ctx.at + SYNC_PAUSE,
+            (Call::Found { .. }, _) => {
+                self.found = None;
+                self.next = ctx.at + SYNC_PAUSE;
+            }
             _ => {}
         }
     }
--- a/crates/gateway/tests/all/load.rs
+++ b/crates/gateway/tests/all/load.rs
@@ -29,8 +29,9 @@
 fn check(world: &mut World, expected: usize) {
     world.arrive("/safe/a");
     let placed = world.log.iter().filter(|line| line.starts_with("event=placed"));
-    let own = placed.clone().count() - 1;
-    let line = placed.last().unwrap();
+    let placed: Vec<_> = placed.collect();
+    let own = placed.len() - 1;
+    let line = placed[own];
     let load = line.split_whitespace().find_map(|pair| pair.strip_prefix("load="));
     assert_eq!(load.unwrap().parse(), Ok(expected + own), "{line}");
 }
--- a/crates/gateway/tests/all/main.rs
+++ b/crates/gateway/tests/all/main.rs
@@ -8,4 +8,5 @@
 mod prompt;
 mod random;
 mod roster;
+mod start;
 mod world;
--- a/crates/gateway/tests/all/world.rs
+++ b/crates/gateway/tests/all/world.rs
@@ -128,6 +128,11 @@
         self.apply(Kind::Store { call, sent: self.now, result });
     }
 
+    /// Answers another call that was sent now.
+    pub fn result(&mut self, call: Call, answer: Answer) {
+        self.apply(Kind::Store { call, sent: self.now, result: Ok(answer) });
+    }
+
     pub fn fail(&mut self) {
         self.answer(changes(), Err(Error::Refused("503".into())));
     }
