Open for keys by the configuration alone; let VMs with wide links read for the others

After all of 300 VMs before 3,000 targets were killed, they served 30 s later (2.5 s with 100). Each VM confirmed its first, old read by all that had changed since; targets write once a second each, so that answer grew to megabytes, was given up after 0.9 s, and asked for again, then longer. And the delegates are drawn among VMs with links of 10 Mbit/s.

--- a/crates/daemon/src/gateway/daemon.rs
+++ b/crates/daemon/src/gateway/daemon.rs
@@ -17,7 +17,7 @@
 use briarshift_routing::window::Budget;
 use briarshift_settings::Gateway as Settings;
 use briarshift_store::registry::{Registry, Secret};
-use briarshift_units::Span;
+use briarshift_units::{MegabitsPerSecond, Span};
 use tokio::sync::{mpsc, oneshot, watch};
 
 use super::control::{Control, Input};
@@ -198,6 +198,7 @@
         start: clock::start(),
         data_centre: settings.data_centre.clone(),
         address: link.address().context("the peer listener has no address")?,
+        link: MegabitsPerSecond(settings.link_mbit_s as u64),
         secret: secret()?,
         bounds: bounds(settings),
     })
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -6,7 +6,7 @@
 use briarshift_routing::seat;
 use briarshift_routing::window::Budget;
 use briarshift_store::registry::{Member, Secret};
-use briarshift_units::{DataCentre, Moment, Span, Start, VmId};
+use briarshift_units::{DataCentre, MegabitsPerSecond, Moment, Span, Start, VmId};
 
 use crate::Effect;
 
@@ -34,6 +34,8 @@
     pub data_centre: DataCentre,
     /// Its peer listener (UDP).
     pub address: SocketAddr,
+    /// What its link carries; 0 if that is not known.
+    pub link: MegabitsPerSecond,
     /// The fleet's secret, if this VM is the first.
     pub secret: Secret,
     /// What is promised.
@@ -48,6 +50,7 @@
             start: self.start,
             data_centre: self.data_centre.clone(),
             address: self.address,
+            link: self.link,
         }
     }
 }
--- a/crates/gateway/src/peer/mod.rs
+++ b/crates/gateway/src/peer/mod.rs
@@ -11,9 +11,8 @@
 use std::net::SocketAddr;
 
 use briarshift_logging::Record;
-use briarshift_routing::rank;
 use briarshift_store::registry::{Member, Name, Value};
-use briarshift_units::{ChatKey, DataCentre, Moment, Revision, Span, Start, VmId};
+use briarshift_units::{DataCentre, Moment, Revision, Span, Start, VmId};
 use briarshift_wire::beat::{Beat, Load, Placement, Strike, Trouble};
 use briarshift_wire::datagram::Datagram;
 
@@ -24,9 +23,6 @@
 pub use load::Loads;
 pub use order::Order;
 
-/// Names the duty in the ranking of VMs.
-const DELEGATES_KEY: ChatKey = ChatKey(0);
-
 /// What a beat says beside who sends it.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct News {
@@ -239,9 +235,9 @@
     /// which they read the store for the others.
     pub fn order(&self, me: &Identity) -> Order {
         let near = |peer: &&Peer| peer.alive && peer.member.data_centre == me.data_centre;
-        let peers = self.peers.values().filter(near).map(|peer| peer.member.vm.clone());
-        let all: Vec<_> = peers.chain([me.vm.clone()]).collect();
-        Order::new(&me.vm, rank::order(DELEGATES_KEY, all, VmId::as_str))
+        let peers = self.peers.values().filter(near).map(|peer| &peer.member);
+        let peers = peers.map(|member| (member.vm.clone(), member.link));
+        Order::new(&me.vm, peers.chain([(me.vm.clone(), me.link)]).collect())
     }
 
     /// The peer of any data centre with the youngest news of the store, if that
--- a/crates/gateway/src/sync/mod.rs
+++ b/crates/gateway/src/sync/mod.rs
@@ -1,7 +1,8 @@
 //! Keeps up with the store.
 //!
-//! After a first read of all rows, one question at a time asks for the changes
-//! since the last answer. Questions are paced, so that changes gather: many
+//! After a first read of all rows, which may be old, and one of the newest
+//! configuration, one question at a time asks for the changes since the last
+//! answer. Questions are paced, so that changes gather: many
 //! targets write often, and a call for each change would cost as much as the
 //! requests. Each answer confirms the configuration as of the moment its
 //! question was sent.
@@ -65,6 +66,8 @@
     journal: Journal,
     waiting: Waiting,
     next: Moment,
+    /// Rows that may be old were read, and nothing since.
+    unconfirmed: bool,
     /// The store has dropped changes that this VM needed.
     compacted: bool,
     /// Delegates can't tell what this VM lacks.
@@ -92,6 +95,7 @@
             journal: Journal::default(),
             waiting: Waiting::No,
             next: Moment::default(),
+            unconfirmed: false,
             compacted: false,
             behind: false,
             late: false,
@@ -154,6 +158,10 @@
             self.waiting = Waiting::Store;
             return out.push(Effect::Call(Call::Read { newest: self.compacted }));
         };
+        if self.unconfirmed && !self.has_failed(ctx.at) {
+            self.waiting = Waiting::Store;
+            return out.push(Effect::Call(Call::Catalog));
+        }
         if let Some((vm, address)) = self.source(ctx, peers) {
             let ask = Ask { from: ctx.me.vm.clone(), at: ctx.at, after: after.0 };
             self.waiting = Waiting::Peer { vm, at: ctx.at };
@@ -168,7 +176,7 @@
     /// has just failed this VM, peers are asked all the same.
     fn source(&self, ctx: &Context<'_>, peers: &peer::State) -> Option<(VmId, SocketAddr)> {
         let order = peers.order(ctx.me);
-        let failed = self.tried.is_some_and(|at| ctx.at.since(at) < OWN_RETRY);
+        let failed = self.has_failed(ctx.at);
         if self.behind || (!failed && self.must_read(ctx, &order)) {
             return None;
         }
@@ -187,6 +195,11 @@
         Some((vm.clone(), peers.address(vm)?))
     }
 
+    /// Whether the store has failed this VM a short while ago.
+    fn has_failed(&self, now: Moment) -> bool {
+        self.tried.is_some_and(|at| now.since(at) < OWN_RETRY)
+    }
+
     /// Whether this VM may not wait for others any longer.
     fn must_read(&self, ctx: &Context<'_>, order: &peer::Order) -> bool {
         let age = self.fence.confirmed().map(|at| ctx.at.since(at));
@@ -253,7 +266,7 @@
         self.note(ctx, call, &result, out);
         let whole = match call {
             Call::Read { .. } => true,
-            Call::Changes { .. } => false,
+            Call::Changes { .. } | Call::Catalog => false,
             _ => {
                 self.registration.answered(ctx, call, sent, &result);
                 return None;
@@ -268,12 +281,20 @@
                 self.failed = None;
                 self.behind = false;
                 self.compacted = false;
-                // Rows that may be old confirm nothing: ask for what follows.
-                let confirmed = if whole { None } else { Some(sent) };
+                // Rows that may be old confirm nothing. The configuration is read
+                // once more, alone: what has changed of all rows is much to read
+                // where there are many targets, and would keep callers waiting.
                 if whole {
                     self.next = ctx.at;
+                    self.unconfirmed = true;
+                    return Some(self.take(rows, whole, version, None, out));
+                }
+                let is_catalog = *call == Call::Catalog;
+                if is_catalog {
+                    self.next = sent + ASK_PAUSE;
                 }
-                Some(self.take(rows, whole, version, confirmed, out))
+                let known = self.version.filter(|_| is_catalog);
+                Some(self.take(rows, false, known.unwrap_or(version), Some(sent), out))
             }
             Err(Error::Compacted) => {
                 self.compacted = true;
@@ -339,6 +360,7 @@
         self.version = Some(version);
         if let Some(confirmed) = confirmed.filter(|_| self.catalog.is_some()) {
             self.fence.confirm(confirmed);
+            self.unconfirmed = false;
         }
         Update { rows, whole }
     }
@@ -366,6 +388,7 @@
 fn name(call: &Call) -> &'static str {
     match call {
         Call::Read { .. } => "read",
+        Call::Catalog => "catalog",
         Call::Changes { .. } => "changes",
         Call::Grant { .. } => "grant",
         Call::Renew { .. } => "renew",
--- a/crates/gateway/tests/all/start.rs
+++ b/crates/gateway/tests/all/start.rs
@@ -1,11 +1,12 @@
 //! The first seconds of a VM.
 
-use briarshift_store::registry::{Answer, Call, Name};
+use briarshift_gateway::request::Cause;
+use briarshift_store::registry::{Answer, Call, Member, Name, Value};
 use briarshift_store::{Lease, LeaseId};
-use briarshift_units::Span;
+use briarshift_units::{MegabitsPerSecond, Span};
 use briarshift_wire::datagram::Datagram;
 
-use crate::world::{World, beat, member};
+use crate::world::{World, beat, member, refused, sent};
 
 fn beats(world: &World) -> usize {
     world.sent.iter().filter(|datagram| matches!(datagram, Datagram::Beat(_))).count()
@@ -32,6 +33,51 @@
     assert_eq!(found.count(), 1);
 }
 
+/// Replays a fleet of 300 VMs that all start at once: what had changed of 3,000
+/// targets since an old read was more than they could fetch in time, and nothing
+/// else confirmed the configuration.
+#[test]
+fn the_configuration_alone_opens_for_keys() {
+    let mut world = World::empty("vm-1");
+    world.tick();
+    world.read_only(&["t-1"]);
+    assert_eq!(refused(world.arrive("/safe/a")), Cause::Stale);
+    world.tick();
+    assert!(world.calls.contains(&Call::Catalog));
+    let asked = world.now;
+    world.catalog();
+    assert_eq!(sent(world.arrive("/safe/a")).fence, Some(asked + crate::world::bounds().key_age));
+}
+
+/// Targets write about once a second each, and whoever reads the store for the
+/// others reads all of that.
+#[test]
+fn a_vm_with_a_wide_link_reads_for_the_others() {
+    for wide in ["vm-2", "vm-3", "vm-4", "vm-5"] {
+        let mut world = World::new(&["t-1"]);
+        for vm in ["vm-2", "vm-3", "vm-4", "vm-5"] {
+            let Value::Member(member) = member(vm) else { unreachable!() };
+            let link = MegabitsPerSecond(if vm == wide { 400 } else { 100 });
+            let member = Value::Member(Member { link, ..member });
+            world.change(Name::Member(vm.parse().unwrap()), Some(member));
+            world.apply(beat(vm, 1));
+        }
+        world.calls.clear();
+        for step in 2..11 {
+            world.pass(100);
+            for vm in ["vm-2", "vm-3", "vm-4", "vm-5"] {
+                world.apply(beat(vm, step));
+            }
+            world.tick();
+        }
+        assert_eq!(
+            world.asked.last().map(ToString::to_string),
+            Some(wide.replace("vm-", "10.0.0.") + ":1")
+        );
+        assert!(!world.calls.iter().any(|call| matches!(call, Call::Changes { .. })));
+    }
+}
+
 #[test]
 fn a_vm_that_hears_nobody_beats_at_once() {
     let mut world = World::new(&["t-1"]);
--- a/crates/settings/src/gateway.rs
+++ b/crates/settings/src/gateway.rs
@@ -45,6 +45,11 @@
     /// Where peers connect (UDP).
     #[schemars(extend("format" = SOCKET_ADDRESS))]
     pub peer_address: SocketAddr,
+    /// What this VM's link carries, in megabits a second; VMs with wide links
+    /// read the store for the others. Left out where it is not known.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    #[schemars(range(min = 0.0, max = 1_000_000.0))]
+    pub link_mbit_s: f64,
     /// Base URL of the platform's store, without a path.
     #[schemars(regex(pattern = "^https?://[^/]+/?$"))]
     pub store: SmolStr,
@@ -109,6 +114,10 @@
     }
 }
 
+fn is_zero(rate: &f64) -> bool {
+    *rate == 0.0
+}
+
 /// Listeners that have the same address.
 fn listeners(settings: &Value) -> Vec<Fault> {
     let address = |field: &str| settings[field].as_str()?.parse::<SocketAddr>().ok();
--- a/crates/store/src/registry.rs
+++ b/crates/store/src/registry.rs
@@ -11,7 +11,7 @@
 use std::sync::Arc;
 
 use briarshift_catalog::Catalog;
-use briarshift_units::{DataCentre, PoolId, Span, Start, TargetId, VmId};
+use briarshift_units::{DataCentre, MegabitsPerSecond, PoolId, Span, Start, TargetId, VmId};
 use futures::future::LocalBoxFuture;
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
@@ -55,6 +55,8 @@
     pub data_centre: DataCentre,
     /// Its peer listener (UDP).
     pub address: SocketAddr,
+    /// What its link carries; 0 if that is not known.
+    pub link: MegabitsPerSecond,
 }
 
 /// Authenticates messages between VMs; made by the first VM of a fleet.
@@ -129,6 +131,9 @@
         /// The rows are to be the newest; else they may be some seconds old.
         newest: bool,
     },
+    /// Reads the newest configuration alone. Answered by [`Answer::Rows`], whose
+    /// version says nothing of other rows.
+    Catalog,
     /// Reads what has changed, at once if anything has. Answered by
     /// [`Answer::Rows`] or [`Error::Compacted`].
     Changes {
--- a/crates/units/src/number.rs
+++ b/crates/units/src/number.rs
@@ -110,6 +110,10 @@
     /// target, so that a restarted one is told from its predecessor.
     Start, ""
 }
+decimal! {
+    /// What a machine's link carries, in megabits a second.
+    MegabitsPerSecond, " Mbit/s"
+}
 decimal! {
     /// Revision of an environment document: the store's version of its key.
     Revision, ""
