Model a fleet under load in virtual time

The real reducers before modelled engines (batches, prompts read in chunks, cached parts) and plain services (slots, a queue), with callers that come back once when told to.

--- /dev/null
+++ b/crates/model/tests/all/main.rs
@@ -0,0 +1,5 @@
+//! Replays of load at its worst.
+
+mod desk;
+mod engine;
+mod replay;
