--- a/benches/decision.rs
+++ b/benches/decision.rs
@@ -3,7 +3,7 @@
 
 use std::net::SocketAddr;
 
-use briarshift_control::{Context, Identity, Output, cache, member, place, target};
+use briarshift_control::{Context, Identity, Output, Turn, cache, member, place, target};
 use briarshift_settings::{Document, Engine, Kind, Pool};
 use briarshift_store::{Listed, Role, Standing};
 use briarshift_target::Report;
@@ -95,8 +95,9 @@
                         avoid: Vec::new(),
                     };
                     let mut out = Output::default();
-                    places.ask(&ctx, view, ask, &mut out);
-                    places.release(&ctx, view, RequestId(number), &mut out);
+                    let turn = &mut Turn { ctx: &ctx, view, out: &mut out };
+                    places.ask(turn, ask);
+                    places.release(turn, RequestId(number));
                     out.effects.len()
                 });
             });
--- a/benches/policy/fleet.rs
+++ b/benches/policy/fleet.rs
@@ -3,7 +3,9 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
-use briarshift_control::{Context, Effect, Identity, Output, Signal, cache, member, place, target};
+use briarshift_control::{
+    Context, Effect, Identity, Output, Signal, Turn, cache, member, place, target,
+};
 use briarshift_settings::Document;
 use briarshift_store::{Listed, Role, Standing};
 use briarshift_target::Failure;
@@ -71,7 +73,7 @@
         at: Moment,
         vm: usize,
         actions: &mut Vec<Action>,
-        apply: impl FnOnce(&mut place::State, &Context<'_>, place::View<'_>, &mut Output),
+        apply: impl FnOnce(&mut place::State, &mut place::Turn<'_>),
     ) {
         let index = vm;
         let vm = &mut self.vms[vm];
@@ -83,7 +85,7 @@
             cache: &vm.cache,
         };
         let mut out = Output::default();
-        apply(&mut vm.places, &ctx, view, &mut out);
+        apply(&mut vm.places, &mut Turn { ctx: &ctx, view, out: &mut out });
         for effect in out.effects {
             match effect {
                 Effect::Send { to, message, .. } => actions.push(Action::Send(index, to, message)),
@@ -107,11 +109,11 @@
     }
 
     fn arrive(&mut self, at: Moment, vm: usize, ask: Ask, out: &mut Vec<Action>) {
-        self.with(at, vm, out, |places, ctx, view, out| places.ask(ctx, view, ask, out));
+        self.with(at, vm, out, |places, turn| places.ask(turn, ask));
     }
 
     fn end(&mut self, at: Moment, vm: usize, request: RequestId, out: &mut Vec<Action>) {
-        self.with(at, vm, out, |places, ctx, view, out| places.release(ctx, view, request, out));
+        self.with(at, vm, out, |places, turn| places.release(turn, request));
     }
 
     fn suspect(&mut self, vm: usize, target: &TargetId) {
@@ -171,9 +173,7 @@
         out: &mut Vec<Action>,
     ) {
         let Message::Place(message) = message else { return };
-        self.with(at, vm, out, |places, ctx, view, out| {
-            places.peer(ctx, view, &from, message, out);
-        });
+        self.with(at, vm, out, |places, turn| places.peer(turn, &from, message));
     }
 
     fn tick(&mut self, at: Moment, vm: usize, out: &mut Vec<Action>) {
--- a/crates/control/src/context.rs
+++ b/crates/control/src/context.rs
@@ -62,3 +62,14 @@
         self.effects.push(Effect::Log(record));
     }
 }
+
+/// One event being applied by a concern: its moment, what the others know, and
+/// where its effects go.
+pub struct Turn<'a, V> {
+    /// The moment.
+    pub ctx: &'a Context<'a>,
+    /// What the concern may look at.
+    pub view: V,
+    /// What it has produced.
+    pub out: &'a mut Output,
+}
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -31,7 +31,7 @@
 pub mod usage;
 
 pub use briarshift_logging::Record;
-pub use context::{Context, Identity, Output};
+pub use context::{Context, Identity, Output, Turn};
 pub use damper::Damper;
 pub use effect::{Effect, Ticket};
 pub use event::{Event, Kind};
--- a/crates/control/src/place/entry.rs
+++ b/crates/control/src/place/entry.rs
@@ -5,8 +5,8 @@
 use briarshift_units::{Moment, PoolId, RequestId, Span, TargetId, VmId};
 use briarshift_wire::place::{Ask, Denial, Held, Message, Peer};
 
-use super::{Key, Request, Roster, Verdict, View};
-use crate::{Context, Output, Record, Signal, target::Target};
+use super::{Key, Request, Roster, Turn, Verdict};
+use crate::{Output, Record, Signal, target::Target};
 
 /// An ask that is not answered by then goes to the next VM.
 const ASK_TIMEOUT: Span = Span::from_millis(100);
@@ -155,128 +155,108 @@
 
 impl super::State {
     /// Sends a request's ask to whoever admits for its slice.
-    pub(super) fn send_ask(
-        &mut self,
-        ctx: &Context<'_>,
-        view: View<'_>,
-        request: RequestId,
-        out: &mut Output,
-    ) {
+    pub(super) fn send_ask(&mut self, turn: &mut Turn<'_>, request: RequestId) {
         let Some(asked) = self.entry.asked.get_mut(&request) else { return };
         let alone = MAX_TIMEOUTS <= asked.timeouts || MAX_HOPS <= asked.hops;
         if alone {
-            self.duty.admit_alone(ctx.at, &asked.key);
+            self.duty.admit_alone(turn.ctx.at, &asked.key);
         }
-        asked.key.slice = self.roster.slice(view, &asked.ask);
-        asked.to = self.duty.first(ctx, view, &asked.key).clone();
-        asked.sent_at = ctx.at;
+        asked.key.slice = self.roster.slice(turn.view, &asked.ask);
+        asked.to = self.duty.first(turn.ctx, turn.view, &asked.key).clone();
+        asked.sent_at = turn.ctx.at;
         asked.queued = false;
         let (key, ask, missing) = (asked.key.clone(), asked.ask.clone(), asked.missing.clone());
-        let waited = ctx.at.since(asked.since);
+        let waited = turn.ctx.at.since(asked.since);
         let to = asked.to.clone();
-        let held_on = ask.held_on.as_ref().and_then(|(id, _)| view.targets.get(id));
+        let held_on = ask.held_on.as_ref().and_then(|(id, _)| turn.view.targets.get(id));
         let vouched = held_on.is_some_and(Target::takes_work);
-        if to == ctx.me.vm {
+        if to == turn.ctx.me.vm {
             let request = Request { from: to, key, ask, waited, vouched, missing };
-            self.asked(ctx, view, request, out);
+            self.asked(turn, request);
             return;
         }
-        self.introduce(ctx, view, &key, &to, out);
+        self.introduce(turn, &key, &to);
         let released = self.entry.releases.remove(&to).map(|batch| batch.requests);
         let released = released.unwrap_or_default();
         let waited_ms = u32::try_from(waited.as_millis()).unwrap_or(u32::MAX);
         let slice = key.slice;
         let message = Message::Ask { ask, slice, waited_ms, vouched, missing, released };
-        self.send(ctx, view, &to, message, out);
+        self.send(turn, &to, message);
     }
 
     /// An ask was not answered: doubts its VM, and asks the next.
-    pub(super) fn ask_again(
-        &mut self,
-        ctx: &Context<'_>,
-        view: View<'_>,
-        request: RequestId,
-        out: &mut Output,
-    ) {
+    pub(super) fn ask_again(&mut self, turn: &mut Turn<'_>, request: RequestId) {
         let Some(asked) = self.entry.asked.get_mut(&request) else { return };
         let to = asked.to.clone();
-        if to == ctx.me.vm {
-            asked.sent_at = ctx.at;
+        if to == turn.ctx.me.vm {
+            asked.sent_at = turn.ctx.at;
             return;
         }
-        let pool = view.document.pools.iter().find(|pool| pool.id == asked.key.pool);
+        let pool = turn.view.document.pools.iter().find(|pool| pool.id == asked.key.pool);
         let limit = pool.map_or(0, |pool| pool.queue_wait_ms) + QUEUE_TIMEOUT.as_millis();
-        if Span::from_millis(limit) < ctx.at.since(asked.since) {
-            self.entry.denied(request, Denial::NotAdmitting, out);
-            self.entry.release_later(ctx.at, &to, request);
+        if Span::from_millis(limit) < turn.ctx.at.since(asked.since) {
+            self.entry.denied(request, Denial::NotAdmitting, turn.out);
+            self.entry.release_later(turn.ctx.at, &to, request);
             return;
         }
         if !asked.queued {
             asked.timeouts += 1;
             asked.missing = Some(to.clone());
-            out.log(Record::new("ask_timeout").with("request", request).with("to", &to));
-            self.duty.doubt(ctx, &to);
+            turn.out.log(Record::new("ask_timeout").with("request", request).with("to", &to));
+            self.duty.doubt(turn.ctx, &to);
         }
-        self.send_ask(ctx, view, request, out);
+        self.send_ask(turn, request);
     }
 
     /// A VM says that another admits.
-    pub(super) fn redirected(
-        &mut self,
-        ctx: &Context<'_>,
-        view: View<'_>,
-        request: RequestId,
-        to: Peer,
-        out: &mut Output,
-    ) {
+    pub(super) fn redirected(&mut self, turn: &mut Turn<'_>, request: RequestId, to: Peer) {
         let Some(asked) = self.entry.asked.get_mut(&request) else { return };
         asked.hops += 1;
         let key = asked.key.clone();
         // A VM that has just stepped down for another does not take the slice
         // back because a third has not heard of it yet.
-        if to.vm != ctx.me.vm || !self.duty.trusts_another(ctx, &key) {
-            self.duty.trust(ctx.at, &key, to);
+        if to.vm != turn.ctx.me.vm || !self.duty.trusts_another(turn.ctx, &key) {
+            self.duty.trust(turn.ctx.at, &key, to);
         }
-        self.send_ask(ctx, view, request, out);
+        self.send_ask(turn, request);
     }
 
     /// A place was granted.
     pub(super) fn granted(
         &mut self,
-        ctx: &Context<'_>,
-        view: View<'_>,
+        turn: &mut Turn<'_>,
         from: &VmId,
         request: RequestId,
         target: TargetId,
-        out: &mut Output,
     ) {
         let asked = self.entry.asked.remove(&request);
         let Some(mut asked) = asked else {
             // Crossed answers: the place came from another VM meanwhile, or
             // the caller is gone.
             let kept = self.entry.held.get(&request).is_some_and(|place| place.by == *from);
-            if !kept && *from != ctx.me.vm {
-                self.entry.release_later(ctx.at, from, request);
+            if !kept && *from != turn.ctx.me.vm {
+                self.entry.release_later(turn.ctx.at, from, request);
             }
             return;
         };
         // A target that this VM believes dead is tried: the admitting VM may
         // know better, and a failed connection costs little.
-        if view.targets.get(&target).is_none_or(|target| target.leaving.is_some()) {
-            out.log(Record::new("grant_refused").with("request", request).with("target", &target));
+        if turn.view.targets.get(&target).is_none_or(|target| target.leaving.is_some()) {
+            turn.out
+                .log(Record::new("grant_refused").with("request", request).with("target", &target));
             asked.ask.avoid.push(target);
             asked.hops += 1;
             let hopeless = MAX_HOPS < asked.hops;
             self.entry.asked.insert(request, asked);
-            if *from == ctx.me.vm {
-                self.released(ctx, view, &[request], out);
+            if *from == turn.ctx.me.vm {
+                self.released(turn, &[request]);
             } else {
-                self.entry.release_later(ctx.at, from, request);
+                self.entry.release_later(turn.ctx.at, from, request);
             }
             if hopeless {
-                self.entry.denied(request, Denial::Empty, out);
+                self.entry.denied(request, Denial::Empty, turn.out);
             } else {
-                self.send_ask(ctx, view, request, out);
+                self.send_ask(turn, request);
             }
             return;
         }
@@ -285,6 +265,6 @@
         let (pool, target_id, by) = (asked.ask.pool, target.clone(), from.clone());
         let place = Place { pool, target: target_id, by, overnight };
         self.entry.held.insert(request, place);
-        out.signal(Signal::Placed(Verdict { request, place: Ok(target) }));
+        turn.out.signal(Signal::Placed(Verdict { request, place: Ok(target) }));
     }
 }
--- a/crates/control/src/place/mod.rs
+++ b/crates/control/src/place/mod.rs
@@ -22,7 +22,7 @@
 use briarshift_wire::Message as Frame;
 use briarshift_wire::place::{Ask, Denial, Message, Peer};
 
-use crate::{Context, Effect, Output, cache, limit, member, target};
+use crate::{Effect, cache, limit, member, target};
 use admit::{Answer, Phase, Waiting};
 use roster::{Key, Roster};
 
@@ -52,6 +52,9 @@
     pub cache: &'a cache::State,
 }
 
+/// One event being applied here.
+pub type Turn<'a> = crate::Turn<'a, View<'a>>;
+
 /// Places held and asked for, and the slices that this VM admits for.
 #[derive(Debug, Default)]
 pub struct State {
@@ -77,94 +80,81 @@
 impl State {
     /// Asks for a place on behalf of a local request. A [`Verdict`] follows,
     /// at once or later.
-    pub fn ask(&mut self, ctx: &Context<'_>, view: View<'_>, ask: Ask, out: &mut Output) {
-        self.wake(ctx, view, out);
-        let slice = self.roster.slice(view, &ask);
+    pub fn ask(&mut self, turn: &mut Turn<'_>, ask: Ask) {
+        self.wake(turn);
+        let slice = self.roster.slice(turn.view, &ask);
         let key = Key { pool: ask.pool.clone(), slice };
         let request = ask.request;
-        self.entry.open(ctx.at, key, ask);
-        self.send_ask(ctx, view, request, out);
+        self.entry.open(turn.ctx.at, key, ask);
+        self.send_ask(turn, request);
     }
 
     /// A local request has ended, or gave up waiting.
-    pub fn release(
-        &mut self,
-        ctx: &Context<'_>,
-        view: View<'_>,
-        request: RequestId,
-        out: &mut Output,
-    ) {
-        self.wake(ctx, view, out);
+    pub fn release(&mut self, turn: &mut Turn<'_>, request: RequestId) {
+        self.wake(turn);
         let Some((key, by)) = self.entry.close(&self.roster, request) else { return };
-        let first = self.duty.first(ctx, view, &key).clone();
+        let first = self.duty.first(turn.ctx, turn.view, &key).clone();
         for vm in [Some(&by), Some(&first).filter(|first| **first != by)].into_iter().flatten() {
-            if *vm == ctx.me.vm {
-                self.released(ctx, view, &[request], out);
+            if *vm == turn.ctx.me.vm {
+                self.released(turn, &[request]);
             } else {
-                self.entry.release_later(ctx.at, vm, request);
+                self.entry.release_later(turn.ctx.at, vm, request);
             }
         }
     }
 
     /// A peer's message.
-    pub fn peer(
-        &mut self,
-        ctx: &Context<'_>,
-        view: View<'_>,
-        from: &VmId,
-        message: Message,
-        out: &mut Output,
-    ) {
-        self.wake(ctx, view, out);
-        self.duty.heard(ctx.at, from);
+    pub fn peer(&mut self, turn: &mut Turn<'_>, from: &VmId, message: Message) {
+        self.wake(turn);
+        self.duty.heard(turn.ctx.at, from);
         match message {
             Message::Ask { ask, slice, waited_ms, vouched, missing, released } => {
-                self.released(ctx, view, &released, out);
+                self.released(turn, &released);
                 let key = Key { pool: ask.pool.clone(), slice };
                 let waited = Span::from_millis(u64::from(waited_ms));
                 let from = from.clone();
-                self.asked(ctx, view, Request { from, key, ask, waited, vouched, missing }, out);
+                self.asked(turn, Request { from, key, ask, waited, vouched, missing });
             }
-            Message::Queued { request } => self.entry.queued(ctx.at, request),
+            Message::Queued { request } => self.entry.queued(turn.ctx.at, request),
             Message::Grant { request, target } => {
-                self.granted(ctx, view, from, request, target, out);
+                self.granted(turn, from, request, target);
             }
-            Message::Deny { request, reason } => self.entry.denied(request, reason, out),
-            Message::Redirect { request, to } => self.redirected(ctx, view, request, to, out),
-            Message::Release { requests } => self.released(ctx, view, &requests, out),
+            Message::Deny { request, reason } => self.entry.denied(request, reason, turn.out),
+            Message::Redirect { request, to } => self.redirected(turn, request, to),
+            Message::Release { requests } => self.released(turn, &requests),
             Message::Want { address, pool, slice } => {
                 self.duty.learn(from, address);
-                self.wanted(ctx, view, from, &Key { pool, slice }, out);
+                self.wanted(turn, from, &Key { pool, slice });
             }
             Message::Hold { address, pool, slice, places, admits } => {
                 self.duty.learn(from, address);
                 let key = Key { pool, slice };
                 if let Some(slice) = self.slices.get_mut(&key) {
-                    slice.told(ctx.at, from, places);
+                    slice.told(turn.ctx.at, from, places);
                 }
                 if let Some(peer) = admits {
-                    self.other_admits(ctx, view, from, &key, peer, out);
+                    self.other_admits(turn, from, &key, peer);
                 }
-                self.serve(ctx, view, &key, out);
+                self.serve(turn, &key);
             }
         }
     }
 
     /// Periodic work: serves and times out the queues, asks again, and tells
     /// what is held.
-    pub fn tick(&mut self, ctx: &Context<'_>, view: View<'_>, out: &mut Output) {
-        self.wake(ctx, view, out);
+    pub fn tick(&mut self, turn: &mut Turn<'_>) {
+        self.wake(turn);
         let duty = &self.duty;
-        for request in self.entry.overdue(ctx.at, |vm| duty.is_doubted(ctx.at, vm)) {
-            self.ask_again(ctx, view, request, out);
+        for request in self.entry.overdue(turn.ctx.at, |vm| duty.is_doubted(turn.ctx.at, vm)) {
+            self.ask_again(turn, request);
         }
-        for (vm, requests) in self.entry.due_releases(ctx.at) {
-            self.send(ctx, view, &vm, Message::Release { requests }, out);
+        for (vm, requests) in self.entry.due_releases(turn.ctx.at) {
+            self.send(turn, &vm, Message::Release { requests });
         }
-        self.tell(ctx, view, out);
+        self.tell(turn);
         let keys: Vec<_> = self.slices.keys().cloned().collect();
         for key in keys {
-            self.tend(ctx, view, &key, out);
+            self.tend(turn, &key);
         }
     }
 
@@ -180,132 +170,112 @@
     }
 
     /// Looks at the roster again, and claims anew after a pause.
-    fn wake(&mut self, ctx: &Context<'_>, view: View<'_>, out: &mut Output) {
-        self.roster.refresh(ctx.at, view);
-        let paused = PAUSE < ctx.at.since(self.last_at) && Moment::default() < self.last_at;
-        self.last_at = ctx.at;
+    fn wake(&mut self, turn: &mut Turn<'_>) {
+        self.roster.refresh(turn.ctx.at, turn.view);
+        let paused = PAUSE < turn.ctx.at.since(self.last_at) && Moment::default() < self.last_at;
+        self.last_at = turn.ctx.at;
         if !paused {
             return;
         }
         let keys: Vec<_> = self.slices.keys().cloned().collect();
         for key in keys {
-            self.claim(ctx, view, &key, out);
+            self.claim(turn, &key);
         }
     }
 
     /// Takes an ask as the VM that may admit for it.
-    fn asked(&mut self, ctx: &Context<'_>, view: View<'_>, request: Request, out: &mut Output) {
+    fn asked(&mut self, turn: &mut Turn<'_>, request: Request) {
         let Request { from, key, ask, waited, vouched, missing } = request;
         let id = ask.request;
         if let Some(missing) = missing {
-            self.duty.doubt(ctx, &missing);
+            self.duty.doubt(turn.ctx, &missing);
         }
-        let first = self.duty.first(ctx, view, &key).clone();
-        if first != ctx.me.vm {
-            if let Some(to) = self.duty.peer(ctx, view, &first) {
-                self.reply(ctx, view, &from, Message::Redirect { request: id, to }, out);
+        let first = self.duty.first(turn.ctx, turn.view, &key).clone();
+        if first != turn.ctx.me.vm {
+            if let Some(to) = self.duty.peer(turn.ctx, turn.view, &first) {
+                self.reply(turn, &from, Message::Redirect { request: id, to });
             }
             return;
         }
         let slice = self.slices.entry(key.clone()).or_default();
         if let Some(target) = slice.placed(id).cloned() {
-            self.reply(ctx, view, &from, Message::Grant { request: id, target }, out);
+            self.reply(turn, &from, Message::Grant { request: id, target });
             return;
         }
         if *slice.phase() == Phase::Idle {
-            self.claim(ctx, view, &key, out);
+            self.claim(turn, &key);
         }
         let Some(slice) = self.slices.get_mut(&key) else { return };
         if !slice.is_waiting(id) {
             let parts = self.roster.parts(&key.pool);
             // A retry was counted at its first attempt.
             if ask.avoid.is_empty() {
-                let taken = self.limits.take(ctx.at, view.document, &ask.account, parts);
+                let taken = self.limits.take(turn.ctx.at, turn.view.document, &ask.account, parts);
                 if let Err(wait) = taken {
                     let retry_after_ms = u32::try_from(wait.as_millis() + 1).unwrap_or(u32::MAX);
                     let reason = Denial::Limit { retry_after_ms };
-                    self.reply(ctx, view, &from, Message::Deny { request: id, reason }, out);
+                    self.reply(turn, &from, Message::Deny { request: id, reason });
                     return;
                 }
             }
-            let since = Moment(ctx.at.0.saturating_sub(waited.0));
-            let pool = view.document.pools.iter().find(|pool| pool.id == key.pool);
+            let since = Moment(turn.ctx.at.0.saturating_sub(waited.0));
+            let pool = turn.view.document.pools.iter().find(|pool| pool.id == key.pool);
             let limit = pool.map_or(0, |pool| pool.queue_length);
             let shed = slice.enqueue(Waiting { vm: from.clone(), ask, vouched, since }, limit);
             if let Some(answer) = shed {
-                self.answer(ctx, view, answer, out);
+                self.answer(turn, answer);
             }
         }
-        self.serve(ctx, view, &key, out);
+        self.serve(turn, &key);
         let slice = self.slices.get(&key);
-        if from != ctx.me.vm && slice.is_some_and(|slice| slice.is_waiting(id)) {
-            self.reply(ctx, view, &from, Message::Queued { request: id }, out);
+        if from != turn.ctx.me.vm && slice.is_some_and(|slice| slice.is_waiting(id)) {
+            self.reply(turn, &from, Message::Queued { request: id });
         }
     }
 
-    fn serve(&mut self, ctx: &Context<'_>, view: View<'_>, key: &Key, out: &mut Output) {
+    fn serve(&mut self, turn: &mut Turn<'_>, key: &Key) {
         let Some(slice) = self.slices.get_mut(key) else { return };
         let duty = &self.duty;
-        let silent = |vm: &VmId| duty.is_silent(ctx, vm);
-        let answers = slice.serve(ctx.at, view, &self.roster, key, silent, out);
+        let silent = |vm: &VmId| duty.is_silent(turn.ctx, vm);
+        let answers = slice.serve(turn.ctx.at, turn.view, &self.roster, key, silent, turn.out);
         for answer in answers {
-            self.answer(ctx, view, answer, out);
+            self.answer(turn, answer);
         }
     }
 
-    fn answer(&mut self, ctx: &Context<'_>, view: View<'_>, answer: Answer, out: &mut Output) {
+    fn answer(&mut self, turn: &mut Turn<'_>, answer: Answer) {
         let Answer { vm, request, place } = answer;
         let message = match place {
             Ok(target) => Message::Grant { request, target },
             Err(reason) => Message::Deny { request, reason },
         };
-        self.reply(ctx, view, &vm, message, out);
+        self.reply(turn, &vm, message);
     }
 
     /// Answers an ask, of a peer or of this VM.
-    fn reply(
-        &mut self,
-        ctx: &Context<'_>,
-        view: View<'_>,
-        to: &VmId,
-        message: Message,
-        out: &mut Output,
-    ) {
-        if *to != ctx.me.vm {
-            self.send(ctx, view, to, message, out);
+    fn reply(&mut self, turn: &mut Turn<'_>, to: &VmId, message: Message) {
+        if *to != turn.ctx.me.vm {
+            self.send(turn, to, message);
             return;
         }
         match message {
             Message::Grant { request, target } => {
-                self.granted(ctx, view, to, request, target, out);
+                self.granted(turn, to, request, target);
             }
-            Message::Deny { request, reason } => self.entry.denied(request, reason, out),
-            Message::Redirect { request, to } => self.redirected(ctx, view, request, to, out),
+            Message::Deny { request, reason } => self.entry.denied(request, reason, turn.out),
+            Message::Redirect { request, to } => self.redirected(turn, request, to),
             _ => {}
         }
     }
 
     /// Sends a message to a VM whose address is known.
-    fn send(
-        &mut self,
-        ctx: &Context<'_>,
-        view: View<'_>,
-        to: &VmId,
-        message: Message,
-        out: &mut Output,
-    ) {
-        let Some(Peer { vm, address }) = self.duty.peer(ctx, view, to) else { return };
-        self.duty.sent(ctx.at, &vm);
-        out.push(Effect::Send { to: vm, address, message: Frame::Place(message) });
+    fn send(&mut self, turn: &mut Turn<'_>, to: &VmId, message: Message) {
+        let Some(Peer { vm, address }) = self.duty.peer(turn.ctx, turn.view, to) else { return };
+        self.duty.sent(turn.ctx.at, &vm);
+        turn.out.push(Effect::Send { to: vm, address, message: Frame::Place(message) });
     }
 
-    fn released(
-        &mut self,
-        ctx: &Context<'_>,
-        view: View<'_>,
-        requests: &[RequestId],
-        out: &mut Output,
-    ) {
+    fn released(&mut self, turn: &mut Turn<'_>, requests: &[RequestId]) {
         if requests.is_empty() {
             return;
         }
@@ -313,9 +283,9 @@
         for key in keys {
             let Some(slice) = self.slices.get_mut(&key) else { continue };
             for &request in requests {
-                slice.release(ctx.at, request);
+                slice.release(turn.ctx.at, request);
             }
-            self.serve(ctx, view, &key, out);
+            self.serve(turn, &key);
         }
     }
 }
--- a/crates/control/src/poison/mod.rs
+++ b/crates/control/src/poison/mod.rs
@@ -67,3 +67,6 @@
     /// Entry VMs.
     pub members: &'a member::State,
 }
+
+/// One event being applied here.
+pub type Turn<'a> = crate::Turn<'a, View<'a>>;
--- a/crates/control/src/poison/state.rs
+++ b/crates/control/src/poison/state.rs
@@ -6,7 +6,7 @@
 use briarshift_wire::poison::{Message, Trial};
 
 use super::arbiter::{self, Grant, arbiter};
-use super::{Denial, MAX_STRIKES, Standing, Verdict, View, WINDOW};
+use super::{Denial, MAX_STRIKES, Standing, Turn, Verdict, View, WINDOW};
 use crate::{Context, Effect, Output, Record, Signal};
 
 /// Wait after a first strike before a trial is granted, so that VMs which run
@@ -56,96 +56,84 @@
     }
 
     /// A target died while it ran a request of this VM.
-    pub fn strike(
-        &mut self,
-        ctx: &Context<'_>,
-        view: View<'_>,
-        fingerprint: Fingerprint,
-        target: &TargetId,
-        out: &mut Output,
-    ) {
-        self.note(ctx, fingerprint, std::slice::from_ref(target), out);
+    pub fn strike(&mut self, turn: &mut Turn<'_>, fingerprint: Fingerprint, target: &TargetId) {
+        self.note(turn.ctx, fingerprint, std::slice::from_ref(target), turn.out);
         // A member that joined since the first strike has not heard of it.
         for target in self.struck(fingerprint) {
-            tell_all(view, &Message::Strike { fingerprint, target }, out);
+            tell_all(turn.view, &Message::Strike { fingerprint, target }, turn.out);
         }
     }
 
     /// A request ended well.
-    pub fn clear(&mut self, view: View<'_>, fingerprint: Fingerprint, out: &mut Output) {
-        if self.forget(fingerprint, out) {
-            tell_all(view, &Message::Clear { fingerprint }, out);
+    pub fn clear(&mut self, turn: &mut Turn<'_>, fingerprint: Fingerprint) {
+        if self.forget(fingerprint, turn.out) {
+            tell_all(turn.view, &Message::Clear { fingerprint }, turn.out);
         }
     }
 
     /// Wants a trial for a request, or reports one that runs. For one that is
     /// wanted, a [`Verdict`] follows.
-    pub fn attempt(&mut self, ctx: &Context<'_>, view: View<'_>, trial: Trial, out: &mut Output) {
+    pub fn attempt(&mut self, turn: &mut Turn<'_>, trial: Trial) {
         let request = trial.request;
-        if trial.running.is_none() && self.standing(ctx, trial.fingerprint) == Standing::Refused {
+        if trial.running.is_none()
+            && self.standing(turn.ctx, trial.fingerprint) == Standing::Refused
+        {
             let target = Err(Denial::Refused);
-            out.signal(Signal::Tried(Verdict { request, target }));
+            turn.out.signal(Signal::Tried(Verdict { request, target }));
             return;
         }
-        let arbiter = arbiter(ctx, view, &trial);
+        let arbiter = arbiter(turn.ctx, turn.view, &trial);
         let granted = trial.running.is_some();
-        let wanted = Wanted { trial, since: ctx.at, asked: ctx.at, arbiter, granted };
+        let wanted = Wanted { trial, since: turn.ctx.at, asked: turn.ctx.at, arbiter, granted };
         self.wanted.insert(request, wanted);
-        self.ask(ctx, view, request, out);
+        self.ask(turn, request);
     }
 
     /// A trial ended, or its request waits for it no longer.
-    pub fn over(&mut self, ctx: &Context<'_>, view: View<'_>, id: RequestId, out: &mut Output) {
+    pub fn over(&mut self, turn: &mut Turn<'_>, id: RequestId) {
         let Some(wanted) = self.wanted.remove(&id) else { return };
         let struck = self.struck(wanted.trial.fingerprint);
         let done = Message::Done { request: id, struck };
-        self.send(ctx, view, &wanted.arbiter, done, out);
+        self.send(turn, &wanted.arbiter, done);
     }
 
     /// A peer's message.
-    pub fn peer(
-        &mut self,
-        ctx: &Context<'_>,
-        view: View<'_>,
-        from: &VmId,
-        message: Message,
-        out: &mut Output,
-    ) {
+    pub fn peer(&mut self, turn: &mut Turn<'_>, from: &VmId, message: Message) {
         match message {
             Message::Strike { fingerprint, target } => {
-                self.note(ctx, fingerprint, &[target], out);
+                self.note(turn.ctx, fingerprint, &[target], turn.out);
             }
             Message::Clear { fingerprint } => {
-                self.forget(fingerprint, out);
+                self.forget(fingerprint, turn.out);
             }
-            Message::Ask { trial, struck } => self.asked(ctx, view, from, trial, &struck, out),
+            Message::Ask { trial, struck } => self.asked(turn, from, trial, &struck),
             Message::Grant { request, target } => {
-                self.granted(ctx, view, from, request, target, out);
+                self.granted(turn, from, request, target);
             }
             Message::Done { request, struck } => {
                 if let Some(fingerprint) = self.arbiter.done(request) {
-                    self.note(ctx, fingerprint, &struck, out);
+                    self.note(turn.ctx, fingerprint, &struck, turn.out);
                 }
-                self.serve(ctx, view, out);
+                self.serve(turn);
             }
         }
     }
 
     /// Periodic work: asks again, gives up, grants, forgets.
-    pub fn tick(&mut self, ctx: &Context<'_>, view: View<'_>, out: &mut Output) {
-        self.cases.retain(|_, case| ctx.at.since(case.last) < WINDOW);
+    pub fn tick(&mut self, turn: &mut Turn<'_>) {
+        self.cases.retain(|_, case| turn.ctx.at.since(case.last) < WINDOW);
         let pending = self.wanted.iter().filter(|(_, wanted)| !wanted.granted);
         let pending: Vec<_> =
             pending.map(|(id, wanted)| (*id, wanted.since, wanted.asked)).collect();
         for (request, since, asked) in pending {
-            if ASK_WAIT <= ctx.at.since(since) {
-                self.deny(ctx, view, request, Denial::Late, out);
-            } else if ASK_INTERVAL <= ctx.at.since(asked) {
-                self.ask(ctx, view, request, out);
+            if ASK_WAIT <= turn.ctx.at.since(since) {
+                self.deny(turn, request, Denial::Late);
+            } else if ASK_INTERVAL <= turn.ctx.at.since(asked) {
+                self.ask(turn, request);
             }
         }
-        self.arbiter.expire(ctx.at);
-        self.serve(ctx, view, out);
+        self.arbiter.expire(turn.ctx.at);
+        self.serve(turn);
     }
 
     fn struck(&self, fingerprint: Fingerprint) -> Vec<TargetId> {
@@ -186,134 +174,97 @@
         known
     }
 
-    fn ask(&mut self, ctx: &Context<'_>, view: View<'_>, request: RequestId, out: &mut Output) {
+    fn ask(&mut self, turn: &mut Turn<'_>, request: RequestId) {
         let Some(wanted) = self.wanted.get_mut(&request) else { return };
         let fingerprint = wanted.trial.fingerprint;
-        wanted.asked = ctx.at;
-        wanted.arbiter = arbiter(ctx, view, &wanted.trial);
+        wanted.asked = turn.ctx.at;
+        wanted.arbiter = arbiter(turn.ctx, turn.view, &wanted.trial);
         let (to, trial) = (wanted.arbiter.clone(), wanted.trial.clone());
         let struck = self.struck(fingerprint);
-        self.send(ctx, view, &to, Message::Ask { trial, struck }, out);
+        self.send(turn, &to, Message::Ask { trial, struck });
     }
 
-    fn asked(
-        &mut self,
-        ctx: &Context<'_>,
-        view: View<'_>,
-        from: &VmId,
-        trial: Trial,
-        struck: &[TargetId],
-        out: &mut Output,
-    ) {
+    fn asked(&mut self, turn: &mut Turn<'_>, from: &VmId, trial: Trial, struck: &[TargetId]) {
         let fingerprint = trial.fingerprint;
-        self.note(ctx, fingerprint, struck, out);
-        if self.standing(ctx, fingerprint) == Standing::Refused && trial.running.is_none() {
-            self.refuse(ctx, view, from, fingerprint, out);
+        self.note(turn.ctx, fingerprint, struck, turn.out);
+        if self.standing(turn.ctx, fingerprint) == Standing::Refused && trial.running.is_none() {
+            self.refuse(turn, from, fingerprint);
             return;
         }
-        if let Some(grant) = self.arbiter.ask(ctx, from, trial) {
-            self.grant(ctx, view, grant, out);
+        if let Some(grant) = self.arbiter.ask(turn.ctx, from, trial) {
+            self.grant(turn, grant);
         }
-        self.serve(ctx, view, out);
+        self.serve(turn);
     }
 
-    fn granted(
-        &mut self,
-        ctx: &Context<'_>,
-        view: View<'_>,
-        from: &VmId,
-        request: RequestId,
-        target: TargetId,
-        out: &mut Output,
-    ) {
+    fn granted(&mut self, turn: &mut Turn<'_>, from: &VmId, request: RequestId, target: TargetId) {
         let Some(wanted) = self.wanted.get_mut(&request) else {
             // It gave up meanwhile, and the arbiter may not have heard.
-            self.send(ctx, view, from, Message::Done { request, struck: Vec::new() }, out);
+            self.send(turn, from, Message::Done { request, struck: Vec::new() });
             return;
         };
         if !std::mem::replace(&mut wanted.granted, true) {
             wanted.arbiter = from.clone();
-            out.signal(Signal::Tried(Verdict { request, target: Ok(target) }));
+            turn.out.signal(Signal::Tried(Verdict { request, target: Ok(target) }));
         }
     }
 
-    fn deny(
-        &mut self,
-        ctx: &Context<'_>,
-        view: View<'_>,
-        request: RequestId,
-        denial: Denial,
-        out: &mut Output,
-    ) {
-        self.over(ctx, view, request, out);
-        out.signal(Signal::Tried(Verdict { request, target: Err(denial) }));
+    fn deny(&mut self, turn: &mut Turn<'_>, request: RequestId, denial: Denial) {
+        self.over(turn, request);
+        turn.out.signal(Signal::Tried(Verdict { request, target: Err(denial) }));
     }
 
     /// Grants what can be granted, and turns away what is refused by now.
-    fn serve(&mut self, ctx: &Context<'_>, view: View<'_>, out: &mut Output) {
+    fn serve(&mut self, turn: &mut Turn<'_>) {
         let refused = |state: &Self, fingerprint: Fingerprint| {
-            state.standing(ctx, fingerprint) == Standing::Refused
+            state.standing(turn.ctx, fingerprint) == Standing::Refused
         };
         let own = self.wanted.values().filter(|wanted| !wanted.granted);
         let own = own.filter(|wanted| refused(self, wanted.trial.fingerprint));
         let own: Vec<_> = own.map(|wanted| wanted.trial.request).collect();
         for request in own {
-            self.deny(ctx, view, request, Denial::Refused, out);
+            self.deny(turn, request, Denial::Refused);
         }
         let waiting = self.arbiter.waiting().into_iter();
         let waiting: Vec<_> = waiting.filter(|f| refused(self, *f)).collect();
         for fingerprint in waiting {
             for vm in self.arbiter.reject(fingerprint) {
-                self.refuse(ctx, view, &vm, fingerprint, out);
+                self.refuse(turn, &vm, fingerprint);
             }
         }
         let cases = &self.cases;
         let ready = |fingerprint: Fingerprint| {
-            cases.get(&fingerprint).is_none_or(|case| GRACE <= ctx.at.since(case.first))
+            cases.get(&fingerprint).is_none_or(|case| GRACE <= turn.ctx.at.since(case.first))
         };
         let struck = |fingerprint: Fingerprint| {
             cases.get(&fingerprint).map(|case| case.targets.clone()).unwrap_or_default()
         };
-        for grant in self.arbiter.serve(ctx, view, ready, struck) {
-            self.grant(ctx, view, grant, out);
+        for grant in self.arbiter.serve(turn.ctx, turn.view, ready, struck) {
+            self.grant(turn, grant);
         }
     }
 
     /// Tells a VM all strikes, which refuses the request there.
-    fn refuse(
-        &mut self,
-        ctx: &Context<'_>,
-        view: View<'_>,
-        vm: &VmId,
-        fingerprint: Fingerprint,
-        out: &mut Output,
-    ) {
+    fn refuse(&mut self, turn: &mut Turn<'_>, vm: &VmId, fingerprint: Fingerprint) {
         for target in self.struck(fingerprint) {
-            self.send(ctx, view, vm, Message::Strike { fingerprint, target }, out);
+            self.send(turn, vm, Message::Strike { fingerprint, target });
         }
     }
 
-    fn grant(&mut self, ctx: &Context<'_>, view: View<'_>, grant: Grant, out: &mut Output) {
+    fn grant(&mut self, turn: &mut Turn<'_>, grant: Grant) {
         let line = Record::new("trial").with("request", grant.request).with("vm", &grant.to);
-        out.log(line.with("target", &grant.target));
+        turn.out.log(line.with("target", &grant.target));
         let message = Message::Grant { request: grant.request, target: grant.target };
-        self.send(ctx, view, &grant.to, message, out);
+        self.send(turn, &grant.to, message);
     }
 
     /// Sends a message, to this VM itself without the network.
-    fn send(
-        &mut self,
-        ctx: &Context<'_>,
-        view: View<'_>,
-        to: &VmId,
-        message: Message,
-        out: &mut Output,
-    ) {
-        if *to == ctx.me.vm {
-            self.peer(ctx, view, &ctx.me.vm, message, out);
-        } else if let Some(member) = view.members.get(to) {
+    fn send(&mut self, turn: &mut Turn<'_>, to: &VmId, message: Message) {
+        if *to == turn.ctx.me.vm {
+            self.peer(turn, &turn.ctx.me.vm, message);
+        } else if let Some(member) = turn.view.members.get(to) {
             let message = briarshift_wire::Message::Poison(message);
-            out.push(Effect::Send { to: to.clone(), address: member.address, message });
+            turn.out.push(Effect::Send { to: to.clone(), address: member.address, message });
         }
     }
 }
--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -7,7 +7,7 @@
 
 use crate::status::{self, Counts, Status};
 use crate::{
-    Context, Effect, Event, Identity, Kind, Output, Signal, Ticket, booking, cache, document,
+    Context, Effect, Event, Identity, Kind, Output, Signal, Ticket, Turn, booking, cache, document,
     member, order, place, poison, request, target, usage,
 };
 
@@ -136,14 +136,14 @@
                     self.targets.gossip(ctx, &message.loads, out);
                     self.document.head(ctx, &self.members, &from, message.document, out);
                 }
-                Message::Place(message) => self.with_places(|places, view| {
-                    places.peer(ctx, view, &from, message, out);
+                Message::Place(message) => self.with_places(ctx, out, |places, turn| {
+                    places.peer(turn, &from, message);
                 }),
                 Message::Document(message) => {
                     self.document.peer(ctx, &self.members, &from, message, out);
                 }
-                Message::Poison(message) => self.with_poison(|poison, view| {
-                    poison.peer(ctx, view, &from, message, out);
+                Message::Poison(message) => self.with_poison(ctx, out, |poison, turn| {
+                    poison.peer(turn, &from, message);
                 }),
             },
             Kind::Store { ticket, result } => match ticket {
@@ -175,10 +175,10 @@
         self.document.tick(ctx, &self.members, out);
         self.members.tick(ctx, out);
         self.targets.tick(ctx, &self.members, out);
-        self.with_places(|places, view| places.tick(ctx, view, out));
+        self.with_places(ctx, out, place::State::tick);
         self.with_requests(|requests, view| requests.tick(ctx, view, out));
         self.bookings.tick(ctx, out);
-        self.with_poison(|poison, view| poison.tick(ctx, view, out));
+        self.with_poison(ctx, out, poison::State::tick);
         self.cache.tick(ctx, &self.targets, self.places.admitted(), out);
         self.order(ctx, out);
         let view = usage::View {
@@ -190,12 +190,12 @@
 
     fn signal(&mut self, ctx: &Context<'_>, signal: Signal, out: &mut Output) {
         match signal {
-            Signal::Ask(ask) => self.with_places(|places, view| places.ask(ctx, view, ask, out)),
+            Signal::Ask(ask) => self.with_places(ctx, out, |places, turn| places.ask(turn, ask)),
             Signal::Placed(verdict) => self.with_requests(|requests, view| {
                 requests.placed(ctx, view, verdict, out);
             }),
-            Signal::Release(id) => self.with_places(|places, view| {
-                places.release(ctx, view, id, out);
+            Signal::Release(id) => self.with_places(ctx, out, |places, turn| {
+                places.release(turn, id);
             }),
             Signal::Claim(booking) => self.bookings.claim(ctx, booking, out),
             Signal::Claimed(verdict) => self.with_requests(|requests, view| {
@@ -205,20 +205,20 @@
             Signal::Look(booking) => self.bookings.look(ctx, booking, out),
             Signal::Unclaim(id) => self.bookings.unclaim(ctx, id, out),
             Signal::Suspect(target) => self.targets.suspect(ctx, &target, out),
-            Signal::Strike(fingerprint, target) => self.with_poison(|poison, view| {
-                poison.strike(ctx, view, fingerprint, &target, out);
+            Signal::Strike(fingerprint, target) => self.with_poison(ctx, out, |poison, turn| {
+                poison.strike(turn, fingerprint, &target);
             }),
-            Signal::Clear(fingerprint) => self.with_poison(|poison, view| {
-                poison.clear(view, fingerprint, out);
+            Signal::Clear(fingerprint) => self.with_poison(ctx, out, |poison, turn| {
+                poison.clear(turn, fingerprint);
             }),
             Signal::Struck(fingerprint) => self.requests.struck(fingerprint, out),
-            Signal::Try(trial) => self.with_poison(|poison, view| {
-                poison.attempt(ctx, view, trial, out);
+            Signal::Try(trial) => self.with_poison(ctx, out, |poison, turn| {
+                poison.attempt(turn, trial);
             }),
             Signal::Tried(verdict) => self.with_requests(|requests, view| {
                 requests.tried(view, verdict, out);
             }),
-            Signal::Over(id) => self.with_poison(|poison, view| poison.over(ctx, view, id, out)),
+            Signal::Over(id) => self.with_poison(ctx, out, |poison, turn| poison.over(turn, id)),
             Signal::Cancel(target, id) => {
                 if let Some(target) = self.targets.get(&target) {
                     out.push(Effect::Cancel { address: target.address, id });
@@ -262,12 +262,22 @@
         self.orders.tick(ctx, view, out);
     }
 
-    fn with_poison(&mut self, apply: impl FnOnce(&mut poison::State, poison::View<'_>)) {
+    fn with_poison(
+        &mut self,
+        ctx: &Context<'_>,
+        out: &mut Output,
+        apply: impl FnOnce(&mut poison::State, &mut poison::Turn<'_>),
+    ) {
         let view = poison::View { targets: &self.targets, members: &self.members };
-        apply(&mut self.poison, view);
+        apply(&mut self.poison, &mut Turn { ctx, view, out });
     }
 
-    fn with_places(&mut self, apply: impl FnOnce(&mut place::State, place::View<'_>)) {
+    fn with_places(
+        &mut self,
+        ctx: &Context<'_>,
+        out: &mut Output,
+        apply: impl FnOnce(&mut place::State, &mut place::Turn<'_>),
+    ) {
         let Some(document) = self.document.current() else { return };
         let view = place::View {
             targets: &self.targets,
@@ -275,6 +285,6 @@
             document,
             cache: &self.cache,
         };
-        apply(&mut self.places, view);
+        apply(&mut self.places, &mut Turn { ctx, view, out });
     }
 }
--- a/crates/control/tests/all/place.rs
+++ b/crates/control/tests/all/place.rs
@@ -4,7 +4,9 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
-use briarshift_control::{Context, Effect, Identity, Output, Signal, cache, member, place, target};
+use briarshift_control::{
+    Context, Effect, Identity, Output, Signal, Turn, cache, member, place, target,
+};
 use briarshift_settings::{Account, Document, Kind, Pool, Priority, Rate, Runner};
 use briarshift_store::{Listed, Role, Standing};
 use briarshift_target::{Change, ChangeKind, Report};
@@ -141,11 +143,7 @@
         fleet
     }
 
-    fn with(
-        &mut self,
-        index: usize,
-        apply: impl FnOnce(&mut place::State, &Context<'_>, place::View<'_>, &mut Output),
-    ) {
+    fn with(&mut self, index: usize, apply: impl FnOnce(&mut place::State, &mut place::Turn<'_>)) {
         let vm = &mut self.vms[index];
         if !vm.alive {
             return;
@@ -158,7 +156,7 @@
             cache: &cache::State::default(),
         };
         let mut out = Output::default();
-        apply(&mut vm.places, &ctx, view, &mut out);
+        apply(&mut vm.places, &mut Turn { ctx: &ctx, view, out: &mut out });
         let from = vm.me.vm.clone();
         for effect in out.effects {
             self.log.push(format!("{index} {effect:?}"));
@@ -186,13 +184,13 @@
             avoid: Vec::new(),
         };
         self.owners.insert(ask.request, vm);
-        self.with(vm, |places, ctx, view, out| places.ask(ctx, view, ask, out));
+        self.with(vm, |places, turn| places.ask(turn, ask));
     }
 
     fn release(&mut self, nth: usize) {
         let Some((&request, &(vm, _))) = self.running.iter().nth(nth % 7) else { return };
         self.running.remove(&request);
-        self.with(vm, |places, ctx, view, out| places.release(ctx, view, request, out));
+        self.with(vm, |places, turn| places.release(turn, request));
     }
 
     fn deliver(&mut self, nth: usize) {
@@ -201,7 +199,7 @@
         }
         let (to, from, message) = self.mail.remove(nth % self.mail.len());
         let Message::Place(message) = message else { return };
-        self.with(to, |places, ctx, view, out| places.peer(ctx, view, &from, message, out));
+        self.with(to, |places, turn| places.peer(turn, &from, message));
     }
 
     fn tick(&mut self) {
--- a/crates/control/tests/all/poison.rs
+++ b/crates/control/tests/all/poison.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use briarshift_control::request::{Outcome, Reason};
-use briarshift_control::{Context, Identity, Output, Signal, member, poison, target};
+use briarshift_control::{Context, Identity, Output, Signal, Turn, member, poison, target};
 use briarshift_store::{Listed, Role, Standing};
 use briarshift_target::Report;
 use briarshift_units::{Fingerprint, Moment, RequestId, Span, Start, WallTime};
@@ -157,10 +157,14 @@
     let mut state = poison::State::default();
     for n in 0..3 {
         let fingerprint = Fingerprint(n);
-        state.strike(&ctx(2), view, fingerprint, &"e-0".parse().unwrap(), &mut out);
+        state.strike(
+            &mut Turn { ctx: &ctx(2), view, out: &mut out },
+            fingerprint,
+            &"e-0".parse().unwrap(),
+        );
         let pool = "chat".parse().unwrap();
         let trial = Trial { request: RequestId(n), fingerprint, pool, running: None };
-        state.attempt(&ctx(2), view, trial, &mut out);
+        state.attempt(&mut Turn { ctx: &ctx(2), view, out: &mut out }, trial);
     }
     let granted = |out: &Output| -> Vec<_> {
         let tried = out.signals.iter().filter_map(|signal| match signal {
@@ -170,7 +174,7 @@
         tried.map(|target| target.to_string()).collect()
     };
     assert!(granted(&out).is_empty(), "copies that run are awaited first");
-    state.tick(&ctx(400), view, &mut out);
+    state.tick(&mut Turn { ctx: &ctx(400), view, out: &mut out });
     let mut first = granted(&out);
     first.sort_unstable();
     assert_eq!(first, ["e-1", "e-2"], "e-0 died, and the third waits");
