Let VMs that start know what engines hold

Engines still hold what they held, but the new VMs don't know it: a popular prompt, or one that was passed on, is read anew elsewhere instead of being fetched.

Change: the first VM with a wide link writes what engines hold to the store every 4 s, a row of some kilobytes; a VM takes it up with its first read. It is a hint: two VMs that are cut off from each other may both write, and a VM that has sent prompts itself ignores it.

Ruled out: asking engines for their lists (18 to 140 probes, and each delays the engine); peers telling a new VM (nobody is left when all are killed).

--- a/crates/gateway/src/cache.rs
+++ b/crates/gateway/src/cache.rs
@@ -1,16 +1,22 @@
 //! What engines are believed to hold of prompts, and where prompts went.
 //!
 //! Each VM tells its peers where it sent prompts, in its next beats, so that
-//! all of them know which engine holds what about a beat later.
+//! all of them know which engine holds what about a beat later. One VM writes it
+//! to the store every few seconds, for VMs that start: engines still hold what
+//! they held when a VM, or the whole fleet, is lost.
 
-use std::collections::{BTreeSet, HashMap};
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 use briarshift_routing::cache::{Cache, Chain};
 use briarshift_routing::heat::Heat;
 use briarshift_units::Moment;
 use briarshift_wire::beat::{Mark, Placement};
+use briarshift_wire::holding::Holdings;
 
-use crate::limit::{CACHE_PRUNE, PLACEMENT_TOLD, PLACEMENTS_TOLD};
+use crate::limit::{
+    CACHE_PRUNE, HOLDINGS_PAUSE, HOLDINGS_WRITTEN, PLACEMENT_TOLD, PLACEMENTS_TOLD,
+};
 
 /// Memory of an engine whose pool does not tell it, in tokens.
 const MEMORY: u64 = 100_000;
@@ -28,6 +34,7 @@
     /// Prompts sent so far.
     placed: u64,
     pruned: Moment,
+    written: Moment,
 }
 
 impl State {
@@ -86,6 +93,43 @@
         }
     }
 
+    /// Takes up what a VM wrote before this one started. Returns how many parts.
+    pub fn restore(&mut self, holdings: &Holdings, now: Moment) -> usize {
+        for Placement { target, parts } in &holdings.engines {
+            let parts: Vec<_> =
+                parts.iter().map(|&(chain, tokens)| (Chain(chain), tokens)).collect();
+            self.read(*target, &parts, MEMORY * 2, now);
+        }
+        holdings.engines.iter().map(|engine| engine.parts.len()).sum()
+    }
+
+    /// Whether nothing is known yet.
+    pub fn is_empty(&self) -> bool {
+        self.engines.is_empty()
+    }
+
+    /// Whether it is time to write what engines hold.
+    pub fn is_due(&self, now: Moment) -> bool {
+        !self.is_empty() && HOLDINGS_PAUSE <= now.since(self.written)
+    }
+
+    /// What engines hold, to be written now: the parts used last.
+    pub fn to_write(&mut self, now: Moment) -> Holdings {
+        self.written = now;
+        let of = |(&engine, cache): (&Mark, &Cache)| {
+            let parts = cache.parts(now).into_iter();
+            parts.map(move |(chain, tokens, used)| (Reverse(used), engine, chain.0, tokens))
+        };
+        let mut parts: Vec<_> = self.engines.iter().flat_map(of).collect();
+        parts.sort_unstable();
+        let mut engines: BTreeMap<Mark, Vec<(u32, u32)>> = BTreeMap::new();
+        for (_, engine, chain, tokens) in parts.into_iter().take(HOLDINGS_WRITTEN) {
+            engines.entry(engine).or_default().push((chain, tokens));
+        }
+        let engines = engines.into_iter().map(|(target, parts)| Placement { target, parts });
+        Holdings { engines: engines.collect() }
+    }
+
     fn read(&mut self, engine: Mark, parts: &[(Chain, u32)], memory: u64, now: Moment) {
         self.engines.entry(engine).or_default().read(parts, memory, now);
         for (chain, _) in parts {
--- a/crates/gateway/src/limit.rs
+++ b/crates/gateway/src/limit.rs
@@ -78,6 +78,12 @@
 pub const PLACEMENT_TOLD: Span = Span::from_millis(250);
 /// Most placements in a beat, so that it fits a datagram.
 pub const PLACEMENTS_TOLD: usize = 64;
+/// Pause between two writes of what engines hold: parts are believed to be held
+/// for seven times as long, and a call is worth a request.
+pub const HOLDINGS_PAUSE: Span = Span::from_secs(4);
+/// Most parts that are written, at up to ten bytes each: well below the longest
+/// value of the store.
+pub const HOLDINGS_WRITTEN: usize = 40_000;
 /// How often old beliefs about engines' memory are dropped.
 pub const CACHE_PRUNE: Span = Span::from_secs(5);
 /// Strikes are told in beats for this long.
--- a/crates/gateway/src/peer/mod.rs
+++ b/crates/gateway/src/peer/mod.rs
@@ -234,8 +234,18 @@
     /// The VMs of this data centre that are heard, and this one, in the order in
     /// which they read the store for the others.
     pub fn order(&self, me: &Identity) -> Order {
-        let near = |peer: &&Peer| peer.alive && peer.member.data_centre == me.data_centre;
-        let peers = self.peers.values().filter(near).map(|peer| &peer.member);
+        self.order_of(me, |member| member.data_centre == me.data_centre)
+    }
+
+    /// Whether this VM writes for the whole fleet: it comes first of all that are
+    /// heard. VMs that are cut off from each other may all think so.
+    pub fn is_first(&self, me: &Identity) -> bool {
+        self.order_of(me, |_| true).is_first()
+    }
+
+    fn order_of(&self, me: &Identity, is_wanted: impl Fn(&Member) -> bool) -> Order {
+        let alive = self.peers.values().filter(|peer| peer.alive);
+        let peers = alive.map(|peer| &peer.member).filter(|member| is_wanted(member));
         let peers = peers.map(|member| (member.vm.clone(), member.link));
         Order::new(&me.vm, peers.chain([(me.vm.clone(), me.link)]).collect())
     }
--- a/crates/gateway/src/peer/order.rs
+++ b/crates/gateway/src/peer/order.rs
@@ -10,7 +10,7 @@
 /// A link counts as wide if this many times it is as much as the widest one.
 const WIDE: u64 = 2;
 
-/// The VMs of a data centre in an order that all of them agree on: the
+/// VMs, mostly those of a data centre, in an order that all of them agree on: the
 /// delegates, then the backups that take over as soon as delegates have only old
 /// news, then all others. VMs with wide links come first: what they read grows
 /// with the number of targets, which write about once a second each.
@@ -23,7 +23,7 @@
 }
 
 impl Order {
-    /// Orders the VMs of a data centre, each with what its link carries.
+    /// Orders VMs, each with what its link carries.
     pub(super) fn new(me: &VmId, all: Vec<(VmId, MegabitsPerSecond)>) -> Self {
         let widest = all.iter().map(|(_, link)| *link).max().unwrap_or_default();
         let ranked = rank::order(DELEGATES_KEY, all, |(vm, _)| vm.as_str());
@@ -35,6 +35,11 @@
         Self { all, delegates, place }
     }
 
+    /// Whether this VM comes first.
+    pub fn is_first(&self) -> bool {
+        self.place == 0
+    }
+
     /// Whether this VM reads the store for others.
     pub fn is_delegate(&self) -> bool {
         self.place < self.delegates
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -5,10 +5,11 @@
 
 use briarshift_logging::Record;
 use briarshift_store::Error;
-use briarshift_store::registry::{Answer, Call};
+use briarshift_store::registry::{Answer, Call, Value};
 use briarshift_units::{Moment, TargetId};
 use briarshift_wire::beat::Beat;
 use briarshift_wire::datagram::Datagram;
+use briarshift_wire::holding::Holdings;
 
 use crate::limit::{DRAIN_FLUSH, DRAIN_RESERVE, DRAIN_SETTLE};
 use crate::peer::News;
@@ -106,6 +107,7 @@
         self.roster.tick(ctx, out);
         self.poison.tick(ctx);
         self.cache.tick(ctx.at);
+        self.write_holdings(ctx, out);
         if self.peers.is_due(ctx.at) {
             let news = News {
                 revision: self.sync.catalog().map(|catalog| catalog.revision()).unwrap_or_default(),
@@ -121,6 +123,40 @@
         }
     }
 
+    /// Writes what engines hold, for VMs that start, if that is this VM's duty.
+    fn write_holdings(&mut self, ctx: &Context<'_>, out: &mut Output) {
+        if !self.cache.is_due(ctx.at)
+            || self.drain != Drain::No
+            || self.sync.is_troubled(ctx.at)
+            || !self.peers.is_first(ctx.me)
+        {
+            return;
+        }
+        match self.cache.to_write(ctx.at).encode() {
+            Ok(holdings) => out.push(Effect::Call(Call::Hold { holdings })),
+            Err(err) => out.log(Record::new("holdings_not_written").with("reason", err)),
+        }
+    }
+
+    /// Takes up what engines hold, as another VM wrote it. One that has sent
+    /// prompts itself knows better.
+    fn restore(&mut self, ctx: &Context<'_>, update: &Update, out: &mut Output) {
+        if !update.whole || !self.cache.is_empty() {
+            return;
+        }
+        for row in &update.rows {
+            let Some(Value::Holdings(bytes)) = &row.value else { continue };
+            let line = Record::new("holdings").with("version", row.version.0);
+            match Holdings::decode(bytes) {
+                Ok(holdings) => {
+                    let parts = self.cache.restore(&holdings, ctx.at);
+                    out.log(line.with("engines", holdings.engines.len()).with("parts", parts));
+                }
+                Err(err) => out.log(line.with("unusable", err)),
+            }
+        }
+    }
+
     fn request(&mut self, ctx: &Context<'_>, event: request::Event, out: &mut Output) {
         let leaving = self.leaving(ctx.at);
         let mut view = request::View {
@@ -170,6 +206,7 @@
             self.poison.strike(ctx, strike, out);
         }
         self.peers.update(ctx, update, out);
+        self.restore(ctx, update, out);
     }
 
     fn beat(&mut self, ctx: &Context<'_>, beat: Beat, out: &mut Output) {
--- a/crates/gateway/src/sync/journal.rs
+++ b/crates/gateway/src/sync/journal.rs
@@ -57,8 +57,12 @@
         }
     }
 
-    /// Takes in one row; whether it changed something.
+    /// Takes in one row; whether it changed something. What engines hold is read
+    /// at the start only, and not told.
     fn note(&mut self, row: &Row) -> bool {
+        if row.name == Name::Holdings {
+            return false;
+        }
         if self.known.get(&row.name) == row.value.as_ref() {
             return false;
         }
--- a/crates/gateway/src/sync/mod.rs
+++ b/crates/gateway/src/sync/mod.rs
@@ -267,6 +267,7 @@
         let whole = match call {
             Call::Read { .. } => true,
             Call::Changes { .. } | Call::Catalog => false,
+            Call::Hold { .. } => return None,
             _ => {
                 self.registration.answered(ctx, call, sent, &result);
                 return None;
@@ -395,5 +396,6 @@
         Call::Revoke { .. } => "revoke",
         Call::Announce { .. } => "announce",
         Call::Found { .. } => "found",
+        Call::Hold { .. } => "hold",
     }
 }
--- a/crates/gateway/tests/all/prompt.rs
+++ b/crates/gateway/tests/all/prompt.rs
@@ -5,7 +5,8 @@
 use briarshift_gateway::Kind;
 use briarshift_gateway::request::{End, Event as Request, Send};
 use briarshift_routing::cache::chains;
-use briarshift_store::registry::{Name, Target, Value};
+use briarshift_store::registry::{Call, Member, Name, Target, Value};
+use briarshift_units::MegabitsPerSecond;
 use briarshift_wire::beat::{Mark, Placement};
 use briarshift_wire::datagram::Datagram;
 
@@ -95,6 +96,70 @@
     Kind::Peer(Datagram::Beat(beat))
 }
 
+/// What a world writes of its engines within five seconds.
+fn written(world: &mut World) -> Option<Vec<u8>> {
+    for _ in 0..50 {
+        world.pass(100);
+        world.tick();
+    }
+    world.calls.iter().rev().find_map(|call| match call {
+        Call::Hold { holdings } => Some(holdings.clone()),
+        _ => None,
+    })
+}
+
+/// Replays a fleet all of whose VMs are killed: engines still hold what they held,
+/// and the new VMs read it all again elsewhere.
+#[test]
+fn a_vm_that_starts_knows_what_engines_hold() {
+    let mut before = World::new(&ENGINES);
+    let first = ask(&mut before, 1, 2);
+    finish(&mut before, &first);
+    let holdings = written(&mut before).unwrap();
+
+    let mut world = World::empty("vm-1");
+    world.tick();
+    world.read_with(&ENGINES, Name::Holdings, Value::Holdings(holdings));
+    let id = first.target.to_string();
+    world.change(Name::Target(first.target.clone()), Some(leaving(&id)));
+    let next = ask(&mut world, 1, 2);
+    assert_eq!(next.fetch, Some(first.address));
+}
+
+#[test]
+fn holdings_that_can_not_be_read_harm_nothing() {
+    let mut world = World::empty("vm-1");
+    world.tick();
+    world.read_with(&ENGINES, Name::Holdings, Value::Holdings(vec![9, 9, 9]));
+    assert!(
+        world
+            .log
+            .iter()
+            .any(|line| line.starts_with("event=holdings") && line.contains("unusable"))
+    );
+    ask(&mut world, 1, 2);
+}
+
+/// One VM writes for the whole fleet: the first with a wide link.
+#[test]
+fn what_engines_hold_is_written_once() {
+    let mut world = World::new(&ENGINES);
+    let Value::Member(member) = member("vm-2") else { unreachable!() };
+    let member = Value::Member(Member { link: MegabitsPerSecond(400), ..member });
+    world.change(Name::Member("vm-2".parse().unwrap()), Some(member));
+    world.apply(beat("vm-2", 1));
+    let first = ask(&mut world, 1, 2);
+    finish(&mut world, &first);
+    for step in 2..50 {
+        world.pass(100);
+        world.apply(beat("vm-2", step));
+        world.tick();
+    }
+    assert!(!world.calls.iter().any(|call| matches!(call, Call::Hold { .. })));
+    // Nobody else is heard any more.
+    assert!(written(&mut world).is_some());
+}
+
 /// Replays a prompt that gets most of the traffic at once, on top of others:
 /// the most loaded engine stays within the bound that operators promise.
 #[test]
--- a/crates/gateway/tests/all/world.rs
+++ b/crates/gateway/tests/all/world.rs
@@ -121,9 +121,20 @@
         self.answer(Call::Catalog, Ok(vec![row]));
     }
 
+    /// Answers a read of everything, one more row among it.
+    pub fn read_with(&mut self, targets: &[&str], name: Name, value: Value) {
+        let row = self.row(name, Some(value));
+        self.read_rows(targets, vec![row]);
+        self.catalog();
+    }
+
     /// Answers a read of everything, which may be old.
     pub fn read_only(&mut self, targets: &[&str]) {
-        let mut rows = vec![self.row(Name::Catalog, Some(catalog(1, KEY)))];
+        self.read_rows(targets, Vec::new());
+    }
+
+    fn read_rows(&mut self, targets: &[&str], mut rows: Vec<Row>) {
+        rows.push(self.row(Name::Catalog, Some(catalog(1, KEY))));
         for id in targets {
             rows.push(self.row(Name::Target(id.parse().unwrap()), Some(target(id, "desk"))));
         }
--- a/crates/model/src/store.rs
+++ b/crates/model/src/store.rs
@@ -55,6 +55,10 @@
                 self.put(Name::Secret, Some(Value::Secret(secret.clone())));
                 Ok(Answer::Done)
             }
+            Call::Hold { holdings } => {
+                self.put(Name::Holdings, Some(Value::Holdings(holdings.clone())));
+                Ok(Answer::Done)
+            }
             Call::Revoke { .. } => Ok(Answer::Done),
         }
     }
--- a/crates/routing/src/cache.rs
+++ b/crates/routing/src/cache.rs
@@ -95,6 +95,12 @@
         self.parts.contains_key(&chain)
     }
 
+    /// The parts that it is believed to hold, each with its last use.
+    pub fn parts(&self, now: Moment) -> Vec<(Chain, u32, Moment)> {
+        let parts = self.parts.iter().map(|(chain, (tokens, used))| (*chain, *tokens, *used));
+        parts.filter(|(_, _, used)| now.since(*used) < KEPT).collect()
+    }
+
     /// Whether it holds nothing.
     pub fn is_empty(&self) -> bool {
         self.parts.is_empty()
--- a/crates/store/src/registry.rs
+++ b/crates/store/src/registry.rs
@@ -80,6 +80,8 @@
     Member(VmId),
     /// The fleet's secret.
     Secret,
+    /// What engines hold of prompts, as a VM believed it.
+    Holdings,
     /// Something else, by its key.
     Other(SmolStr),
 }
@@ -91,6 +93,7 @@
             Self::Target(id) => write!(f, "target:{id}"),
             Self::Member(vm) => write!(f, "member:{vm}"),
             Self::Secret => f.write_str("secret"),
+            Self::Holdings => f.write_str("holdings"),
             Self::Other(key) => write!(f, "other:{key}"),
         }
     }
@@ -107,6 +110,8 @@
     Member(Member),
     /// The fleet's secret.
     Secret(Secret),
+    /// What engines hold, encoded by this fleet.
+    Holdings(Vec<u8>),
     /// Bytes that name nothing to use, and why.
     Unusable(SmolStr),
 }
@@ -164,6 +169,11 @@
         /// Its lease.
         lease: LeaseId,
     },
+    /// Writes what engines hold. Answered by [`Answer::Done`].
+    Hold {
+        /// As this fleet encodes it.
+        holdings: Vec<u8>,
+    },
     /// Makes the fleet's secret, unless it has one ([`Error::Conflict`]).
     Found {
         /// The secret to be.
--- a/crates/wire/src/datagram.rs
+++ b/crates/wire/src/datagram.rs
@@ -2,9 +2,9 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::Error;
 use crate::beat::Beat;
 use crate::sync::{Ask, Tell};
+use crate::{Error, versioned};
 
 /// Version of the encoding, the first byte.
 const VERSION: u8 = 1;
@@ -38,7 +38,7 @@
     /// assert_eq!(Datagram::decode(&ask.encode().unwrap()), Ok(ask));
     /// ```
     pub fn encode(&self) -> Result<Vec<u8>, Error> {
-        postcard::to_extend(self, vec![VERSION]).map_err(|err| Error::Malformed(err.to_string()))
+        versioned::encode(VERSION, self)
     }
 
     /// Decodes a datagram.
@@ -47,10 +47,6 @@
     ///
     /// Any [`Error`]; arbitrary bytes never panic.
     pub fn decode(bytes: &[u8]) -> Result<Self, Error> {
-        let (&version, body) = bytes.split_first().ok_or(Error::Empty)?;
-        if version != VERSION {
-            return Err(Error::Version(version));
-        }
-        postcard::from_bytes(body).map_err(|err| Error::Malformed(err.to_string()))
+        versioned::decode(VERSION, bytes)
     }
 }
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -8,11 +8,13 @@
 
 mod codec;
 mod message;
+mod versioned;
 
 pub mod beat;
 pub mod datagram;
 pub mod document;
 pub mod gossip;
+pub mod holding;
 pub mod place;
 pub mod poison;
 pub mod sync;
