Write what libraries log as pairs too

A library's free text (Response payload stream error: ...) was the only line without an event. It is one pair of an event now, with where it came from.

--- a/crates/logging/src/lib.rs
+++ b/crates/logging/src/lib.rs
@@ -14,6 +14,24 @@
 pub use pipe::Pipe;
 pub use record::Record;
 
+/// What a line says: pairs as they are, and the free text of a library as one.
+///
+/// # Examples
+///
+/// ```
+/// use briarshift_logging::pairs;
+/// assert_eq!(pairs("briarshift", &format_args!("event=stop")), "event=stop");
+/// let text = pairs("actix_http", &format_args!("stream error: reset"));
+/// assert_eq!(text, "event=library from=actix_http text=\"stream error: reset\"");
+/// ```
+pub fn pairs(from: &str, text: &std::fmt::Arguments<'_>) -> String {
+    let text = text.to_string();
+    if text.starts_with("event=") {
+        return text;
+    }
+    Record::new("library").with("from", from).with("text", text).to_string()
+}
+
 /// Sets up the log of this process.
 ///
 /// Lines go to `out`. The filter comes from `RUST_LOG`, or is `filter` if that
@@ -23,7 +41,8 @@
         .target(env_logger::Target::Pipe(Box::new(Pipe::new(out))))
         .format(|out, record| {
             let level = record.level().as_str().to_lowercase();
-            writeln!(out, "time={} level={level} {}", out.timestamp_millis(), record.args())
+            let pairs = pairs(record.target(), record.args());
+            writeln!(out, "time={} level={level} {pairs}", out.timestamp_millis())
         })
         .init();
 }
