Serve keys for as long as the bound on revoked ones safely allows

Change: for the bound less 1.4 s where that is more: 3.6 s of 5. A store's watch may have missed changes of the second before it answered, so a key that was taken away is refused after 4.6 s at the latest; 0.4 s are left for a request on its way.

Ruled out: more frequent reads (a fifth more store calls); a larger share of short bounds.

Test: doc test of fence::limit; the soak and platform key tests as before.

--- a/crates/daemon/src/gateway/daemon.rs
+++ b/crates/daemon/src/gateway/daemon.rs
@@ -13,6 +13,7 @@
 use anyhow::{Context, anyhow};
 use briarshift_forward::{Client, Dialect};
 use briarshift_gateway::{Bounds, Identity, Kind};
+use briarshift_routing::fence;
 use briarshift_routing::seat::Bound;
 use briarshift_routing::window::Budget;
 use briarshift_settings::Gateway as Settings;
@@ -36,10 +37,6 @@
 const DISCONNECT: Duration = Duration::from_millis(500);
 /// New connections that may wait to be taken up.
 const BACKLOG: u32 = 1024;
-/// Share of the revocation bound for which a configuration is relied on. The
-/// rest is for a store whose watches hear nothing for a second, a request on
-/// its way, and clocks.
-const KEY_AGE_SHARE: f64 = 0.64;
 /// Share of the load bound that this fleet keeps to: its counts are some
 /// hundred milliseconds old.
 const LOAD_SHARE: f64 = 0.9;
@@ -216,7 +213,7 @@
     let bounds = &settings.bounds;
     let span = |seconds: f64| Span((seconds * 1e6) as u64);
     Bounds {
-        key_age: span(bounds.revoke_ms as f64 / 1e3 * KEY_AGE_SHARE),
+        key_age: fence::limit(Span::from_millis(bounds.revoke_ms)),
         retries: Budget {
             ratio: bounds.retry_ratio,
             extra: bounds.retry_extra * EXTRA_SHARE,
--- a/crates/routing/src/fence.rs
+++ b/crates/routing/src/fence.rs
@@ -6,6 +6,29 @@
 
 use briarshift_units::{Moment, Span};
 
+/// Share of the bound on revoked keys for which a configuration is relied on, at
+/// least: the pauses of reading must fit into it.
+const SHARE: f64 = 0.64;
+/// What is left of that bound, where it is long: the operators' page lets a store
+/// say nothing of changes for a second, and a request needs its time on a busy VM.
+const REST: Span = Span::from_millis(1_400);
+
+/// How long a configuration may be relied on after it was the newest, where a key
+/// must be refused `revoke` after it was taken away.
+///
+/// # Examples
+///
+/// ```
+/// use briarshift_routing::fence::limit;
+/// use briarshift_units::Span;
+/// assert_eq!(limit(Span::from_secs(5)), Span::from_millis(3_600));
+/// assert_eq!(limit(Span::from_secs(2)), Span::from_millis(1_280));
+/// ```
+pub fn limit(revoke: Span) -> Span {
+    let share = Span((revoke.0 as f64 * SHARE) as u64);
+    share.max(Span(revoke.0.saturating_sub(REST.0)))
+}
+
 /// Tells until when the configuration in force may be relied on.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Fence {
