Tell a request that crosses the end of a process from one that is cut off

Three of the requests' ids are in no gateway's log and at no target: callers of the soak go on to connect until the process is gone, and these were never read. The fourth was refused as not run in the millisecond in which the process ended, and the refusal did not leave any more.

Change: a process that ends takes no new connection any more and lets its last answers leave for 50 ms.

Ruled out: the drain itself (nothing was in flight when each process closed).

--- a/crates/daemon/src/gateway/daemon.rs
+++ b/crates/daemon/src/gateway/daemon.rs
@@ -35,6 +35,9 @@
 const HEAD_TIMEOUT: Duration = Duration::from_secs(5);
 /// How long a closed connection may take to be gone.
 const DISCONNECT: Duration = Duration::from_millis(500);
+/// How long a process that ends lets its last answers leave: some turns of the
+/// traffic thread on a slow core.
+const LAST_ANSWERS: Duration = Duration::from_millis(50);
 /// New connections that may wait to be taken up.
 const BACKLOG: u32 = 1024;
 /// Share of the load bound that this fleet keeps to: its counts are some
@@ -174,6 +177,9 @@
         .map_err(|_| anyhow!("the starter is gone"))?;
     // An error means that the handle was dropped: end then too.
     let _ = stopped.await;
+    // What has been read is answered; what has not been accepted never is.
+    servers[0].pause().await;
+    actix_rt::time::sleep(LAST_ANSWERS).await;
     for server in &servers {
         server.stop(false).await;
     }
