--- a/tests/all/gateway.rs
+++ b/tests/all/gateway.rs
@@ -88,6 +88,7 @@
         ("{{bind.ready}}", "10.1.0.40:8220"),
         ("{{port-range.0}}", "7340"),
         ("{{platform.address}}", "10.200.1.7:8223"),
+        ("{{limits.link-mbps|json}}", "1000.0"),
         ("{{bounds.revoke-ms|json}}", "5000"),
         ("{{bounds.grace-s|json}}", "8"),
         ("{{bounds.retry-budget-ratio|json}}", "0.2"),
@@ -105,4 +106,5 @@
     let settings = Gateway::parse(text.as_bytes()).unwrap();
     assert_eq!(settings.vm.as_str(), "front-a-1");
     assert_eq!(settings.store, "http://10.200.1.7:8223");
+    assert_eq!(settings.link_mbit_s, 1000.0);
 }
