Ask for the duty of writing what engines hold every four seconds, not each tick

Read as a newcomer: VMs that don't come first ordered all VMs anew at each tick, forty times a second, while what engines hold was due. The turn is taken whoever writes. The parts of a placement are read in one place.

--- a/crates/gateway/src/cache.rs
+++ b/crates/gateway/src/cache.rs
@@ -34,7 +34,8 @@
     /// Prompts sent so far.
     placed: u64,
     pruned: Moment,
-    written: Moment,
+    /// When it was last time to write what engines hold.
+    turn: Moment,
 }
 
 impl State {
@@ -84,8 +85,7 @@
     /// A peer told where prompts went. The first `new` have not been told before.
     pub fn told(&mut self, placements: &[Placement], new: u64, now: Moment) {
         for (index, placement) in placements.iter().enumerate() {
-            let parts: Vec<_> =
-                placement.parts.iter().map(|&(chain, tokens)| (Chain(chain), tokens)).collect();
+            let parts = chained(placement);
             if let Some(&(last, _)) = parts.last().filter(|_| (index as u64) < new) {
                 self.heat.add(last, now);
             }
@@ -95,10 +95,8 @@
 
     /// Takes up what a VM wrote before this one started. Returns how many parts.
     pub fn restore(&mut self, holdings: &Holdings, now: Moment) -> usize {
-        for Placement { target, parts } in &holdings.engines {
-            let parts: Vec<_> =
-                parts.iter().map(|&(chain, tokens)| (Chain(chain), tokens)).collect();
-            self.read(*target, &parts, MEMORY * 2, now);
+        for engine in &holdings.engines {
+            self.read(engine.target, &chained(engine), MEMORY * 2, now);
         }
         holdings.engines.iter().map(|engine| engine.parts.len()).sum()
     }
@@ -108,14 +106,18 @@
         self.engines.is_empty()
     }
 
-    /// Whether it is time to write what engines hold.
-    pub fn is_due(&self, now: Moment) -> bool {
-        !self.is_empty() && HOLDINGS_PAUSE <= now.since(self.written)
+    /// Whether it is time to write what engines hold; the next time is a pause
+    /// later, whoever writes.
+    pub fn take_turn(&mut self, now: Moment) -> bool {
+        let is_due = !self.is_empty() && HOLDINGS_PAUSE <= now.since(self.turn);
+        if is_due {
+            self.turn = now;
+        }
+        is_due
     }
 
-    /// What engines hold, to be written now: the parts used last.
-    pub fn to_write(&mut self, now: Moment) -> Holdings {
-        self.written = now;
+    /// What engines hold: the parts used last, as many as may be written.
+    pub fn holdings(&self, now: Moment) -> Holdings {
         let of = |(&engine, cache): (&Mark, &Cache)| {
             let parts = cache.parts(now).into_iter();
             parts.map(move |(chain, tokens, used)| (Reverse(used), engine, chain.0, tokens))
@@ -171,6 +173,11 @@
     }
 }
 
+/// The parts of a placement.
+fn chained(placement: &Placement) -> Vec<(Chain, u32)> {
+    placement.parts.iter().map(|&(chain, tokens)| (Chain(chain), tokens)).collect()
+}
+
 fn tokens(parts: &[(Chain, u32)]) -> u64 {
     parts.iter().map(|(_, tokens)| u64::from(*tokens)).sum()
 }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -125,14 +125,14 @@
 
     /// Writes what engines hold, for VMs that start, if that is this VM's duty.
     fn write_holdings(&mut self, ctx: &Context<'_>, out: &mut Output) {
-        if !self.cache.is_due(ctx.at)
-            || self.drain != Drain::No
-            || self.sync.is_troubled(ctx.at)
-            || !self.peers.is_first(ctx.me)
-        {
+        if !self.cache.take_turn(ctx.at) {
             return;
         }
-        match self.cache.to_write(ctx.at).encode() {
+        let may_write = self.drain == Drain::No && !self.sync.is_troubled(ctx.at);
+        if !may_write || !self.peers.is_first(ctx.me) {
+            return;
+        }
+        match self.cache.holdings(ctx.at).encode() {
             Ok(holdings) => out.push(Effect::Call(Call::Hold { holdings })),
             Err(err) => out.log(Record::new("holdings_not_written").with("reason", err)),
         }
