--- a/crates/standin/src/engine/mod.rs
+++ b/crates/standin/src/engine/mod.rs
@@ -27,7 +27,6 @@
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, OnceLock};
 
-use actix_web::dev::ServerHandle;
 use actix_web::web::Data;
 use briarshift_target::LoadReport;
 use briarshift_units::ChatKey;
@@ -37,7 +36,7 @@
 
 use crate::Fault;
 use crate::run::Log;
-use crate::serve::{Listener, abort, lock};
+use crate::serve::{Handle, Listener, lock};
 use state::State;
 
 /// Kind of a fault of a target.
@@ -77,7 +76,7 @@
     state: Mutex<State>,
     /// Incremented at each new token, to wake the readers of streams.
     changed: watch::Sender<u64>,
-    handle: OnceLock<ServerHandle>,
+    handle: OnceLock<Handle>,
 }
 
 impl Shared {
@@ -89,7 +88,7 @@
     fn crash(&self) {
         lock(&self.state).crashed = true;
         if let Some(handle) = self.handle.get() {
-            abort(handle);
+            handle.abort();
         }
     }
 
--- a/crates/standin/src/runner.rs
+++ b/crates/standin/src/runner.rs
@@ -21,7 +21,6 @@
 use std::time::Duration;
 
 use actix_web::body::SizedStream;
-use actix_web::dev::ServerHandle;
 use actix_web::http::header::RETRY_AFTER;
 use actix_web::web::{self, Bytes, Data, Json, Path, ServiceConfig};
 use actix_web::{HttpRequest, HttpResponse};
@@ -35,7 +34,7 @@
 use crate::engine::FaultKind;
 use crate::fault::ActiveFaults;
 use crate::run::{Log, Recorder};
-use crate::serve::{Listener, abort, aborted_response, lock};
+use crate::serve::{Handle, Listener, aborted_response, lock};
 
 /// Interval at which a frozen runner checks whether the freeze has been cleared.
 const FREEZE_POLL_INTERVAL: Duration = Duration::from_millis(5);
@@ -70,14 +69,14 @@
 
 struct Shared {
     state: Mutex<State>,
-    handle: OnceLock<ServerHandle>,
+    handle: OnceLock<Handle>,
 }
 
 impl Shared {
     fn crash(&self) {
         lock(&self.state).crashed = true;
         if let Some(handle) = self.handle.get() {
-            abort(handle);
+            handle.abort();
         }
     }
 }
--- a/crates/standin/src/serve.rs
+++ b/crates/standin/src/serve.rs
@@ -2,8 +2,8 @@
 //! runtimes in the process and can be stopped separately.
 
 use std::io;
-use std::net::{Ipv4Addr, SocketAddr};
-use std::sync::mpsc;
+use std::net::{Ipv4Addr, Shutdown, SocketAddr};
+use std::sync::{Arc, mpsc};
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::thread::JoinHandle;
 use std::time::Duration;
@@ -14,6 +14,7 @@
 use actix_web::{App, HttpResponse, HttpServer};
 use bytes::Bytes;
 use futures::stream;
+use socket2::{Domain, Socket, Type};
 
 /// Largest request body. It has room for several store values of the largest size.
 const MAX_BODY_BYTES: usize = 16 << 20;
@@ -21,10 +22,34 @@
 /// clients do not use a connection that is just being closed.
 const KEEP_ALIVE: Duration = Duration::from_secs(75);
 
+/// Length of the queue of connections that have not been accepted yet.
+const BACKLOG: i32 = 1024;
+
+/// Stops a listener from any thread. Cheap to clone.
+#[derive(Clone)]
+pub struct Handle {
+    server: ServerHandle,
+    socket: Arc<Socket>,
+}
+
+impl Handle {
+    /// Stops the listener immediately and aborts its connections.
+    ///
+    /// The listening socket is shut down before this returns, so that a connection attempt that
+    /// begins afterwards is refused. The server alone closes its socket some time later, and until
+    /// then the kernel would accept connections that are never served.
+    pub fn abort(&self) {
+        // Fails if the socket has already been shut down, which needs no handling.
+        let _ = self.socket.shutdown(Shutdown::Both);
+        // The call itself sends the stop command; the returned future only waits for its completion.
+        drop(self.server.stop(false));
+    }
+}
+
 /// A running listener.
 pub struct Listener {
     address: SocketAddr,
-    handle: ServerHandle,
+    handle: Handle,
     thread: Option<JoinHandle<io::Result<()>>>,
 }
 
@@ -59,8 +84,8 @@
         self.address
     }
 
-    /// Returns a handle with which any thread can stop the listener by [`abort`].
-    pub fn handle(&self) -> ServerHandle {
+    /// Returns a handle with which any thread can stop the listener.
+    pub fn handle(&self) -> Handle {
         self.handle.clone()
     }
 
@@ -74,27 +99,21 @@
 
     /// Stops the listener, aborts its connections and waits for its thread.
     pub fn close(mut self) {
-        abort(&self.handle);
+        self.handle.abort();
         self.wait();
     }
 }
 
 impl Drop for Listener {
     fn drop(&mut self) {
-        abort(&self.handle);
+        self.handle.abort();
     }
 }
 
-/// Stops a listener immediately and aborts its connections.
-pub fn abort(handle: &ServerHandle) {
-    // The call itself sends the stop command; the returned future only waits for its completion.
-    drop(handle.stop(false));
-}
-
 async fn run<F>(
     port: u16,
     configure: F,
-    sender: &mpsc::Sender<(SocketAddr, ServerHandle)>,
+    sender: &mpsc::Sender<(SocketAddr, Handle)>,
 ) -> io::Result<()>
 where
     F: Fn(&mut ServiceConfig) + Clone + Send + 'static,
@@ -105,20 +124,33 @@
             .app_data(PayloadConfig::new(MAX_BODY_BYTES))
             .configure(configure.clone())
     };
+    let socket = listen(port)?;
     let server = HttpServer::new(app)
         .workers(1)
         .keep_alive(KEEP_ALIVE)
         .disable_signals()
-        .bind((Ipv4Addr::LOCALHOST, port))?;
-    let address = server.addrs().first().copied();
-    let server = server.run();
+        .listen(socket.try_clone()?.into())?
+        .run();
+    let address = socket.local_addr()?.as_socket();
     let address = address.ok_or_else(|| io::Error::other("the listener has no address"))?;
-    if sender.send((address, server.handle())).is_err() {
+    let handle = Handle { server: server.handle(), socket: Arc::new(socket) };
+    if sender.send((address, handle)).is_err() {
         return Ok(());
     }
     server.await
 }
 
+/// Opens a listening socket on a loopback port.
+fn listen(port: u16) -> io::Result<Socket> {
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None)?;
+    // A stand-in that is started again takes its previous port.
+    socket.set_reuse_address(true)?;
+    socket.bind(&SocketAddr::from((Ipv4Addr::LOCALHOST, port)).into())?;
+    socket.listen(BACKLOG)?;
+    socket.set_nonblocking(true)?;
+    Ok(socket)
+}
+
 /// Returns a response whose connection is aborted before the body.
 pub fn aborted_response() -> HttpResponse {
     let chunk: io::Result<Bytes> = Err(io::ErrorKind::ConnectionAborted.into());
