Spread loads by relays where heartbeats are seconds apart

Cause: with 295 VMs, heartbeats between all pairs are 2.9 s apart, and a request runs 0.06 to 1.5 s. Each VM took the only runner of its data centre for idle, and one engine held 28 requests where 3 were known.

Change: each VM reports its loads to the first VM of its data centre, relays exchange sums and send the fleet's sum back, every 0.2 s; heartbeats stay, and their loads are used without a recent sum. A runner for requests without a prompt is drawn by shares of the data centre, and loads decide only if they differ by more than chance (routing::spread).

Ruled out: the cold start of popularity (the prompts at overloaded engines differed from each other); shorter heartbeats (a hundred a second is what a VM of 0.12 cores receives now).

In virtual time, 120 VMs and 8 runners: 295 of 1,440 sends over the bound before; the test allows 3 in 100.

--- a/crates/gateway/src/limit.rs
+++ b/crates/gateway/src/limit.rs
@@ -79,6 +79,22 @@
 pub const HEARTBEAT_INTERVAL_PER_PEER: Span = Span::from_millis(10);
 /// Heartbeats that a peer may miss before its load is no longer counted.
 pub const MAX_MISSED_HEARTBEATS: u64 = 8;
+/// Interval at which VMs report their loads to relays, and relays send their
+/// sums, if heartbeats are more than twice as far apart. Each adds up to one
+/// interval of delay, so that the sum is about as old as an engine's own load
+/// report.
+pub const RELAY_INTERVAL: Span = Span::from_millis(200);
+/// Time without a sum from its relay after which a VM reports to another one.
+/// Three sums may be lost or late.
+pub const RELAY_TIMEOUT: Span = Span::from_millis(600);
+/// How long a VM does not report to a relay that sent no sums.
+pub const RELAY_RETRY_DELAY: Span = Span::from_secs(5);
+/// Maximum age of a sum of loads. With an older one, the loads in heartbeats are
+/// used.
+pub const MAX_RELAYED_AGE: Span = Span::from_millis(1_000);
+/// Number of VMs of another data centre to which a relay sends its sum: the one
+/// that probably serves as the relay there, and the one that takes over from it.
+pub const RELAYS_PER_DATA_CENTRE: usize = 2;
 /// Minimum number of tokens for which a transfer from another engine is
 /// worthwhile: an engine computes this many in about the time that it takes to
 /// request them.
--- a/crates/gateway/src/peer/load.rs
+++ b/crates/gateway/src/peer/load.rs
@@ -9,7 +9,7 @@
 use briarshift_wire::heartbeat::{Load, TargetHash};
 
 /// Sums of loads by target.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub struct Loads {
     sums: HashMap<TargetHash, Sum>,
 }
@@ -23,6 +23,13 @@
 }
 
 impl Loads {
+    /// Returns the sums of one set of loads.
+    pub(super) fn of(loads: &[Load]) -> Self {
+        let mut sums = Self::default();
+        sums.add(loads);
+        sums
+    }
+
     /// Returns the peers' total load at a target.
     pub fn at(&self, target: TargetHash) -> Load {
         let sum = self.sums.get(&target).copied().unwrap_or_default();
@@ -30,6 +37,22 @@
         Load { target, requests, backlog: sum.backlog }
     }
 
+    /// Returns the loads of all targets that have any.
+    pub(super) fn to_vec(&self) -> Vec<Load> {
+        let mut loads: Vec<_> = self.sums.keys().map(|&target| self.at(target)).collect();
+        loads.sort_by_key(|load| load.target);
+        loads
+    }
+
+    /// Subtracts loads that may not have been added in full.
+    pub(super) fn subtract(&mut self, loads: &[Load]) {
+        for load in loads {
+            let Some(sum) = self.sums.get_mut(&load.target) else { continue };
+            sum.requests = sum.requests.saturating_sub(u64::from(load.requests));
+            sum.backlog = sum.backlog.saturating_sub(load.backlog);
+        }
+    }
+
     /// Adds a peer's loads.
     pub(super) fn add(&mut self, loads: &[Load]) {
         for load in loads {
--- a/crates/gateway/src/peer/mod.rs
+++ b/crates/gateway/src/peer/mod.rs
@@ -2,12 +2,15 @@
 //!
 //! Each VM sends all its loads to every other VM in one datagram, the
 //! heartbeat; the larger the fleet, the longer the interval. Only heartbeats
-//! decide whether a peer is live; the store just provides its address.
+//! decide whether a peer is live; the store just provides its address. In a
+//! large fleet, relays spread the loads faster than heartbeats do (see
+//! [`relay`]).
 
 mod load;
 mod ranking;
+mod relay;
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
 use briarshift_logging::Record;
@@ -15,10 +18,11 @@
 use briarshift_units::{DataCentre, Moment, Revision, Span, StartNumber, VmId};
 use briarshift_wire::datagram::Datagram;
 use briarshift_wire::heartbeat::{Crash, Failure, Heartbeat, Load, Placement};
+use briarshift_wire::load::{Report, Scope};
 
 use crate::limit::{
     DATA_CENTRE_TIMEOUT, HEARTBEAT_INTERVAL_PER_PEER, MAX_DELEGATE_AGE, MAX_MISSED_HEARTBEATS,
-    MIN_HEARTBEAT_INTERVAL,
+    MIN_HEARTBEAT_INTERVAL, RELAY_INTERVAL, RELAYS_PER_DATA_CENTRE,
 };
 use crate::sync::Update;
 use crate::{Context, Effect, Identity, Output};
@@ -49,10 +53,16 @@
 struct Peer {
     member: Member,
     latest: Option<Latest>,
+    /// Start number and sequence of the last load report.
+    last_report: Option<(StartNumber, u64)>,
     live: bool,
 }
 
 impl Peer {
+    fn is_in(&self, data_centre: &DataCentre) -> bool {
+        self.member.data_centre == *data_centre
+    }
+
     /// Returns the peer's loads, or none if it is silent.
     fn loads(&self) -> &[Load] {
         let latest = self.latest.as_ref().filter(|_| self.live);
@@ -90,6 +100,7 @@
     peers: BTreeMap<VmId, Peer>,
     /// Sum of the loads of live peers.
     loads: Loads,
+    relay: relay::State,
     sequence: u64,
     next_heartbeat_at: Moment,
     /// The latest heartbeat of this VM, to be sent to peers that become live.
@@ -145,7 +156,7 @@
             return;
         }
         out.log(Record::new("peer").with("peer", vm).with("address", member.address));
-        let peer = Peer { member: member.clone(), latest: None, live: false };
+        let peer = Peer { member: member.clone(), latest: None, last_report: None, live: false };
         if let Some(previous) = self.peers.insert(vm.clone(), peer) {
             self.loads.remove(previous.loads());
         }
@@ -295,9 +306,127 @@
         Some((member.vm.clone(), member.address))
     }
 
-    /// Returns the sum of the loads of live peers.
-    pub fn loads(&self) -> &Loads {
-        &self.loads
+    /// Returns the sum of the loads of live peers: the recent one of a relay, or
+    /// else that of their latest heartbeats.
+    pub fn loads(&self, now: Moment) -> &Loads {
+        self.relay.fleet(now).unwrap_or(&self.loads)
+    }
+
+    /// Returns true if heartbeats are so far apart that relays spread the loads.
+    pub fn uses_relays(&self) -> bool {
+        Span(RELAY_INTERVAL.0 * 2) < self.heartbeat_interval()
+    }
+
+    /// Returns the fraction of the live VMs, including this one, that are in
+    /// this VM's data centre.
+    pub fn data_centre_share(&self, me: &Identity) -> f64 {
+        let live = self.peers.values().filter(|peer| peer.live);
+        let here = live.clone().filter(|peer| peer.is_in(&me.data_centre)).count();
+        (here + 1) as f64 / (live.count() + 1) as f64
+    }
+
+    /// Returns true if this VM is to report its loads to its relay.
+    pub fn is_report_due(&self, now: Moment) -> bool {
+        self.uses_relays() && self.relay.is_due(now)
+    }
+
+    /// Reports this VM's loads to its relay. If this VM serves as a relay, sends
+    /// sums to the relays of other data centres and to the VMs of its own.
+    pub fn report_loads(&mut self, ctx: &Context<'_>, loads: Vec<Load>, out: &mut Output) {
+        if !self.relay.start_round(ctx.at) {
+            return;
+        }
+        let ranking = self.rank_data_centre(ctx.me);
+        let relay = self.relay.choose(ctx, ranking.all(), out);
+        if relay == ctx.me.vm || self.relay.serves(ctx.at) {
+            self.send_sums(ctx, &loads, out);
+        }
+        if let Some(address) = self.address(&relay) {
+            let report = self.load_report(ctx, Scope::Vm, loads.clone());
+            out.push(Effect::Send { address, datagram: report });
+        }
+        self.relay.set_reported(loads);
+    }
+
+    fn send_sums(&mut self, ctx: &Context<'_>, own: &[Load], out: &mut Output) {
+        let own_data_centre = &ctx.me.data_centre;
+        let mut sum = Loads::of(own);
+        self.add_peer_loads(&mut sum, ctx.at, |peer| peer.is_in(own_data_centre));
+        let addresses = self.remote_relays(ctx);
+        let datagram = self.load_report(ctx, Scope::DataCentre, sum.to_vec());
+        out.push(Effect::Broadcast { addresses, datagram });
+
+        let known: BTreeSet<_> = self.relay.data_centres(ctx.at).cloned().collect();
+        for loads in known.iter().filter_map(|name| self.relay.data_centre(name, ctx.at)) {
+            sum.add(&loads.to_vec());
+        }
+        self.add_peer_loads(&mut sum, ctx.at, |peer| {
+            !peer.is_in(own_data_centre) && !known.contains(&peer.member.data_centre)
+        });
+        let mates = self.peers.values().filter(|peer| peer.live && peer.is_in(own_data_centre));
+        let addresses = mates.map(|peer| peer.member.address).collect();
+        let loads = sum.to_vec();
+        self.relay.set_reported(own.to_vec());
+        self.relay.set_fleet(&ctx.me.vm, &loads, ctx.at);
+        let datagram = self.load_report(ctx, Scope::Fleet, loads);
+        out.push(Effect::Broadcast { addresses, datagram });
+    }
+
+    /// Adds the loads of the live peers accepted by `filter`, except of those
+    /// that have missed a heartbeat.
+    fn add_peer_loads(&self, sum: &mut Loads, now: Moment, filter: impl Fn(&Peer) -> bool) {
+        let max_age = Span(self.heartbeat_interval().0 * 2);
+        let is_recent = |peer: &Peer| {
+            peer.latest.as_ref().is_some_and(|it| now.since(it.received_at) < max_age)
+        };
+        for peer in self.peers.values().filter(|peer| filter(peer) && is_recent(peer)) {
+            sum.add(peer.loads());
+        }
+    }
+
+    /// Returns the addresses of the VMs that probably serve as relays in other
+    /// data centres.
+    fn remote_relays(&self, ctx: &Context<'_>) -> Vec<SocketAddr> {
+        let members = self.peers.values().map(|peer| &peer.member.data_centre);
+        let others: BTreeSet<_> = members.filter(|name| **name != ctx.me.data_centre).collect();
+        let first = |name: &DataCentre| {
+            let ranking = self.rank(ctx.me, |member| member.data_centre == *name);
+            let peers = ranking.all().iter().filter(|vm| **vm != ctx.me.vm);
+            peers.take(RELAYS_PER_DATA_CENTRE).filter_map(|vm| self.address(vm)).collect::<Vec<_>>()
+        };
+        others.into_iter().flat_map(first).collect()
+    }
+
+    fn load_report(&mut self, ctx: &Context<'_>, scope: Scope, loads: Vec<Load>) -> Datagram {
+        let (from, start) = (ctx.me.vm.clone(), ctx.me.start);
+        let sequence = self.relay.next_sequence();
+        Datagram::LoadReport(Report { from, start, sequence, scope, loads })
+    }
+
+    /// Applies a report of loads if it is newer than the sender's latest one.
+    pub fn receive_report(&mut self, ctx: &Context<'_>, report: Report) {
+        let Report { from, start, sequence, scope, loads } = report;
+        let Some(peer) = self.peers.get_mut(&from) else { return };
+        if peer.last_report.is_some_and(|last| (start, sequence) <= last) {
+            return;
+        }
+        peer.last_report = Some((start, sequence));
+        match scope {
+            Scope::Vm => {
+                self.relay.record_report(ctx.at);
+                let latest = peer.latest.as_mut().filter(|latest| latest.start == start);
+                let Some(latest) = latest.filter(|_| peer.live) else { return };
+                self.loads.remove(&latest.loads);
+                self.loads.add(&loads);
+                latest.received_at = ctx.at;
+                latest.loads = loads;
+            }
+            Scope::DataCentre => {
+                let data_centre = peer.member.data_centre.clone();
+                self.relay.set_data_centre(data_centre, &loads, ctx.at);
+            }
+            Scope::Fleet => self.relay.set_fleet(&from, &loads, ctx.at),
+        }
     }
 
     fn heartbeat_interval(&self) -> Span {
--- a/crates/gateway/src/peer/ranking.rs
+++ b/crates/gateway/src/peer/ranking.rs
@@ -37,6 +37,11 @@
         Self { all, delegates, position }
     }
 
+    /// Returns all VMs in their order.
+    pub fn all(&self) -> &[VmId] {
+        &self.all
+    }
+
     /// Returns true if this VM is the first.
     pub fn is_first(&self) -> bool {
         self.position == 0
--- a/crates/gateway/src/request/choice.rs
+++ b/crates/gateway/src/request/choice.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use briarshift_routing::selection::{self, Candidate};
+use briarshift_routing::spread;
 use briarshift_units::{Moment, Span, TargetId};
 use briarshift_wire::heartbeat::TargetHash;
 
@@ -49,7 +50,7 @@
         view.cache.cached_tokens(TargetHash::of(candidate.name), pending.shared_parts(), ctx.at)
     };
     let index = if pending.parts.is_empty() {
-        selection::select_runner(&candidates, ctx.entropy)
+        select_runner(step, &candidates)
     } else {
         let prompt = pending.prompt(view.cache.popularity(pending.shared_parts(), ctx.at));
         selection::select_engine(
@@ -78,6 +79,17 @@
     })
 }
 
+/// Selects the target of a request without a prompt, by the age of the known
+/// loads.
+fn select_runner(step: &Step<'_, '_>, candidates: &[Candidate<'_>]) -> Option<usize> {
+    let Step { ctx, view, .. } = step;
+    if view.peers.uses_relays() {
+        let vm_share = view.peers.data_centre_share(ctx.me);
+        return spread::select_runner(candidates, vm_share, ctx.entropy);
+    }
+    selection::select_runner(candidates, ctx.entropy)
+}
+
 /// Returns the target that has the most tokens of a prompt cached, if a transfer
 /// to the `chosen` target, which has `cached_tokens` of them, is worthwhile.
 /// Among targets with equally many, prefers those in the chosen target's data
--- a/crates/gateway/src/request/view.rs
+++ b/crates/gateway/src/request/view.rs
@@ -41,7 +41,7 @@
     pub(super) fn query<'a>(&'a self, ctx: &'a Context<'_>) -> target::Query<'a> {
         target::Query {
             data_centre: &ctx.me.data_centre,
-            peer_loads: self.peers.loads(),
+            peer_loads: self.peers.loads(ctx.at),
             all_peers_live: self.peers.are_all_live(),
             now: ctx.at,
         }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -109,6 +109,9 @@
         self.poison.tick(ctx);
         self.cache.tick(ctx.at);
         self.write_holdings(ctx, out);
+        if self.peers.is_report_due(ctx.at) {
+            self.peers.report_loads(ctx, self.targets.loads(), out);
+        }
         if self.peers.is_heartbeat_due(ctx.at) {
             let outgoing = Outgoing {
                 revision: self.sync.catalog().map(|catalog| catalog.revision()).unwrap_or_default(),
@@ -190,6 +193,7 @@
     fn handle_datagram(&mut self, ctx: &Context<'_>, datagram: Datagram, out: &mut Output) {
         match datagram {
             Datagram::Heartbeat(heartbeat) => self.handle_heartbeat(ctx, heartbeat, out),
+            Datagram::LoadReport(report) => self.peers.receive_report(ctx, report),
             Datagram::SyncRequest(request) => {
                 if let Some(address) = self.peers.address(&request.from) {
                     self.sync.handle_request(ctx, &request, address, out);
--- a/crates/gateway/tests/all/main.rs
+++ b/crates/gateway/tests/all/main.rs
@@ -6,6 +6,7 @@
 mod poison;
 mod prompt;
 mod random;
+mod relay;
 mod retry;
 mod start;
 mod target;
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -17,4 +17,5 @@
 pub mod retry;
 pub mod retry_window;
 pub mod selection;
+pub mod spread;
 pub mod token;
--- a/crates/routing/src/selection.rs
+++ b/crates/routing/src/selection.rs
@@ -159,17 +159,19 @@
 /// ```
 pub fn select_runner(candidates: &[Candidate<'_>], entropy: u64) -> Option<usize> {
     let usable = usable(candidates);
-    let cost = |index: usize| {
-        let Candidate { load, error_rate, .. } = candidates[index];
-        let error_rate = if error_rate < MIN_ERROR_RATE { 0.0 } else { error_rate };
-        f64::from(load) + ERROR_RATE_COST * error_rate
-    };
+    let cost = |index: usize| f64::from(candidates[index].load) + error_cost(&candidates[index]);
     let is_idle =
         |&i: &usize| candidates[i].local && cost(i) < f64::from(candidates[i].slots) * IDLE_LOAD;
     let local: Vec<_> = usable.iter().copied().filter(is_idle).collect();
     cheaper_of_two(&local, entropy, cost).or_else(|| cheaper_of_two(&usable, entropy, cost))
 }
 
+/// Returns the cost of a runner's recent failures, in requests.
+pub(crate) fn error_cost(candidate: &Candidate<'_>) -> f64 {
+    let rate = candidate.error_rate;
+    if rate < MIN_ERROR_RATE { 0.0 } else { ERROR_RATE_COST * rate }
+}
+
 /// Returns the cheaper of two choices that `entropy` draws at random. The cheapest
 /// of all would be the same one on every VM until the VMs learn of each other's
 /// requests.
@@ -186,7 +188,7 @@
 }
 
 /// Returns the indices of the healthy candidates, or of all if none is healthy.
-fn usable(candidates: &[Candidate<'_>]) -> Vec<usize> {
+pub(crate) fn usable(candidates: &[Candidate<'_>]) -> Vec<usize> {
     let healthy: Vec<_> =
         (0..candidates.len()).filter(|&index| candidates[index].healthy).collect();
     if healthy.is_empty() { (0..candidates.len()).collect() } else { healthy }
--- a/crates/wire/src/datagram.rs
+++ b/crates/wire/src/datagram.rs
@@ -3,6 +3,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::heartbeat::Heartbeat;
+use crate::load::Report;
 use crate::sync::{Request, Response};
 use crate::{Error, versioned};
 
@@ -18,6 +19,9 @@
     SyncRequest(Request),
     /// Answers [`Datagram::SyncRequest`].
     SyncResponse(Response),
+    /// Loads at targets, between a VM and the relay of its data centre, or
+    /// between relays.
+    LoadReport(Report),
 }
 
 impl Datagram {
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod document;
 pub mod gossip;
 pub mod holding;
+pub mod load;
 pub mod reservation;
 pub mod poison;
 pub mod sync;
