Let two VMs read the store for the delegates of all data centres

Cause: calls to the store grow with data centres and VMs.

Change: where the operators' bound on changes leaves time for one more step (sync::pace; from 3 s), two readers of the whole fleet read the store every 0.4 of the bound, at most every third of the age at which keys are refused, and delegates query them. The bounds are new settings, config_ms and leave_ms, 2 s by default, which keeps the intervals of before. A peer that has just registered counts in rankings. Heartbeats are spread over their interval: VMs that started together sent them together, and all data centres of a fleet of 60 counted as silent in between. Calls are logged and counted by call and role.

Ruled out: a reader that keeps its role while the store fails it (its data came back from the delegates; a test with both readers cut off from the store reached 3,025 ms at a bound of 3,000).

Tests: the bound holds when readers stop, lose the store, or a data centre is cut off.

--- a/crates/daemon/src/gateway/daemon.rs
+++ b/crates/daemon/src/gateway/daemon.rs
@@ -234,6 +234,7 @@
     let span = |seconds: f64| Span((seconds * 1e6) as u64);
     Bounds {
         key_age: freshness::max_age(Span::from_millis(bounds.revoke_ms)),
+        change: Span::from_millis(bounds.config_ms.min(bounds.leave_ms)),
         retry_budget: Budget {
             ratio: bounds.retry_ratio,
             allowance: bounds.retry_extra * RETRY_ALLOWANCE_SHARE,
--- a/crates/daemon/src/gateway/metric.rs
+++ b/crates/daemon/src/gateway/metric.rs
@@ -19,6 +19,7 @@
     events: Counter<u64>,
     refusals: Counter<u64>,
     sends: Counter<u64>,
+    store_calls: Counter<u64>,
     send_duration: Histogram<f64>,
     catalog_revision: Gauge<u64>,
     catalog_age: Gauge<u64>,
@@ -38,6 +39,7 @@
             events: counter("briarshift_events", "Log lines by event, decisions among them"),
             refusals: counter("briarshift_refusals", "Refused requests by cause and outcome"),
             sends: counter("briarshift_sends", "Sends to targets by how they ended"),
+            store_calls: counter("briarshift_store_calls", "Calls to the store by call and role"),
             send_duration: meter
                 .f64_histogram("briarshift_send_seconds")
                 .with_description("Time from a send to its end")
@@ -51,13 +53,14 @@
         })
     }
 
-    /// Counts a log line by its event. Also counts a refusal by cause and outcome, and
-    /// a send by its end.
+    /// Counts a log line by its event. Also counts a refusal by cause and outcome, a
+    /// call to the store by call and role, and a send by its end.
     pub(crate) fn count_event(&self, record: &Record) {
         self.events.add(1, &[KeyValue::new("event", record.event())]);
         let pair = |key| KeyValue::new(key, record.get(key).unwrap_or_default().to_owned());
         match record.event() {
             "refused" => self.refusals.add(1, &[pair("cause"), pair("outcome")]),
+            "store_call" => self.store_calls.add(1, &[pair("call"), pair("role")]),
             "ended" => {
                 self.sends.add(1, &[pair("end")]);
                 let took = record.get("took").and_then(|took| took.strip_suffix("us"));
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -5,7 +5,7 @@
 use briarshift_logging::Record;
 use briarshift_routing::retry_window::Budget;
 use briarshift_routing::selection;
-use briarshift_store::registry::{Member, Secret};
+use briarshift_store::registry::{Call, Member, Secret};
 use briarshift_units::{DataCentre, MegabitsPerSecond, Moment, Span, StartNumber, VmId};
 
 use crate::Effect;
@@ -15,6 +15,8 @@
 pub struct Bounds {
     /// Maximum age of the configuration at which requests with keys are served.
     pub key_age: Span,
+    /// Time within which a VM must know of a change in the store.
+    pub change: Span,
     /// Budget of retries that all VMs share.
     pub retry_budget: Budget,
     /// Maximum load of an engine.
@@ -80,8 +82,30 @@
         self.effects.push(effect);
     }
 
+    /// Adds a call to the store, with a log record. `role` is what the VM makes it
+    /// as.
+    pub fn call(&mut self, call: Call, role: &'static str) {
+        self.log(Record::new("store_call").with("call", call_name(&call)).with("role", role));
+        self.push(Effect::Call(call));
+    }
+
     /// Adds a log record.
     pub fn log(&mut self, record: Record) {
         self.effects.push(Effect::Log(record));
     }
 }
+
+/// Returns the name of a call in logs and metrics.
+pub(crate) fn call_name(call: &Call) -> &'static str {
+    match call {
+        Call::ReadAll { .. } => "read",
+        Call::ReadCatalog { .. } => "catalog",
+        Call::ReadChanges { .. } => "changes",
+        Call::Grant { .. } => "grant",
+        Call::Renew { .. } => "renew",
+        Call::Revoke { .. } => "revoke",
+        Call::Register { .. } => "announce",
+        Call::CreateSecret { .. } => "found",
+        Call::WriteHoldings { .. } => "hold",
+    }
+}
--- a/crates/gateway/src/limit.rs
+++ b/crates/gateway/src/limit.rs
@@ -2,11 +2,11 @@
 
 use briarshift_units::Span;
 
-/// Interval between two reads of the store's changes. One call per second costs
-/// about 1% of the value of the requests that a VM serves. A change is known
-/// after one interval and one slow reply at the latest, well within the bounds
-/// of one to two seconds.
-pub const SYNC_INTERVAL: Span = Span::from_millis(800);
+/// Minimum interval between two reads of the store's changes. One call per second
+/// costs about 1% of the value of the requests that a VM serves. A change is
+/// known after one interval and one slow reply at the latest, well within the
+/// bounds of one to two seconds.
+pub const MIN_SYNC_INTERVAL: Span = Span::from_millis(800);
 /// Delay after a failed call to the store.
 pub const SYNC_RETRY_DELAY: Span = Span::from_millis(400);
 /// Delay after a failed call about this VM's registration. Nothing waits for
@@ -52,17 +52,31 @@
 /// Timeout of a request to a delegate: several round trips within one data
 /// centre, plus the scheduling delay of the delegate on a busy core.
 pub const DELEGATE_TIMEOUT: Span = Span::from_millis(300);
-/// Interval between two requests to a delegate. Half of [`SYNC_INTERVAL`], at
+/// Interval between two requests to a delegate. Half of [`MIN_SYNC_INTERVAL`], at
 /// which the delegate itself reads the store, because the two intervals add up.
 pub const DELEGATE_INTERVAL: Span = Span::from_millis(400);
-/// Maximum age of a delegate's data. A delegate that reaches the store has data
-/// younger than its own sync interval. Older data shows that it doesn't, and
-/// the requesting VM reads the store at once.
+/// Maximum age of the data of a delegate that reads the store at
+/// [`MIN_SYNC_INTERVAL`]. A delegate that reaches the store has data younger than
+/// its own sync interval. Older data shows that it doesn't, and the requesting VM
+/// reads the store at once.
 pub const MAX_DELEGATE_AGE: Span = Span::from_millis(1_000);
-/// Age of a VM's own data at which it reads the store regardless of its
+/// Minimum age of a VM's own data at which it reads the store regardless of its
 /// delegates. With the time of the call it stays within the shortest bound on
 /// changes (2 s).
 pub const STORE_FALLBACK_AGE: Span = Span::from_millis(1_500);
+/// Time that is left for a read of the store before a bound on changes: a slow
+/// call on a busy core.
+pub const STORE_READ_TIME: Span = Span::from_millis(500);
+/// Time for a peer's response to arrive and be handled, in addition to the
+/// interval between two requests.
+pub const PASSING_TIME: Span = Span::from_millis(200);
+/// Number of VMs that read the store for the delegates of all data centres: one,
+/// and one that has the same data when the first is lost.
+pub const READERS: usize = 2;
+/// How long a VM that has just registered counts as live in the ranking of
+/// readers before its first heartbeat, which may take one interval of a large
+/// fleet to arrive.
+pub const NEW_PEER_TTL: Span = Span::from_secs(3);
 /// Maximum number of changes that a VM keeps for peers that are behind.
 pub const MAX_KEPT_CHANGES: usize = 1_000;
 /// Maximum number of rows, or routes, in one datagram of changes. At about a
@@ -122,6 +136,9 @@
 /// A data centre may be cut off if no heartbeat of any of its VMs has arrived
 /// for this long: five heartbeats of a data centre with a single VM.
 pub const DATA_CENTRE_TIMEOUT: Span = Span::from_millis(500);
+/// A data centre may be cut off if this many heartbeats of it have not arrived,
+/// in a large fleet whose heartbeats are far apart.
+pub const MISSED_DATA_CENTRE_HEARTBEATS: u64 = 5;
 /// Maximum number of requests whose crashes are kept.
 pub const MAX_SUSPECT_REQUESTS: usize = 4096;
 /// Number of targets that must have crashed before a request is refused. Two
--- a/crates/gateway/src/peer/mod.rs
+++ b/crates/gateway/src/peer/mod.rs
@@ -21,8 +21,9 @@
 use briarshift_wire::load::{Report, Scope};
 
 use crate::limit::{
-    DATA_CENTRE_TIMEOUT, HEARTBEAT_INTERVAL_PER_PEER, MAX_DELEGATE_AGE, MAX_MISSED_HEARTBEATS,
-    MIN_HEARTBEAT_INTERVAL, RELAY_INTERVAL, RELAYS_PER_DATA_CENTRE,
+    DATA_CENTRE_TIMEOUT, HEARTBEAT_INTERVAL_PER_PEER, MAX_MISSED_HEARTBEATS,
+    MIN_HEARTBEAT_INTERVAL, MISSED_DATA_CENTRE_HEARTBEATS, NEW_PEER_TTL, RELAY_INTERVAL,
+    RELAYS_PER_DATA_CENTRE,
 };
 use crate::sync::Update;
 use crate::{Context, Effect, Identity, Output};
@@ -56,9 +57,18 @@
     /// Start number and sequence of the last load report.
     last_report: Option<(StartNumber, u64)>,
     live: bool,
+    /// When this VM learned of the peer's process.
+    known_at: Moment,
 }
 
 impl Peer {
+    /// Returns true if the peer counts in rankings: it is live, or has just
+    /// registered.
+    fn is_ranked(&self, now: Moment) -> bool {
+        let is_new = self.latest.is_none() && now.since(self.known_at) < NEW_PEER_TTL;
+        self.live || is_new
+    }
+
     fn is_in(&self, data_centre: &DataCentre) -> bool {
         self.member.data_centre == *data_centre
     }
@@ -134,7 +144,9 @@
         for row in &update.rows {
             let Name::Member(vm) = &row.name else { continue };
             match &row.value {
-                Some(Value::Member(member)) if *vm != ctx.me.vm => self.upsert(vm, member, out),
+                Some(Value::Member(member)) if *vm != ctx.me.vm => {
+                    self.upsert(ctx, vm, member, out);
+                }
                 None => {
                     if self.peers.get(vm).is_some_and(|peer| !peer.live) {
                         out.log(Record::new("peer_gone").with("peer", vm));
@@ -151,12 +163,13 @@
         }
     }
 
-    fn upsert(&mut self, vm: &VmId, member: &Member, out: &mut Output) {
+    fn upsert(&mut self, ctx: &Context<'_>, vm: &VmId, member: &Member, out: &mut Output) {
         if self.peers.get(vm).is_some_and(|peer| member.start <= peer.member.start) {
             return;
         }
         out.log(Record::new("peer").with("peer", vm).with("address", member.address));
-        let peer = Peer { member: member.clone(), latest: None, last_report: None, live: false };
+        let (member, known_at) = (member.clone(), ctx.at);
+        let peer = Peer { member, latest: None, last_report: None, live: false, known_at };
         if let Some(previous) = self.peers.insert(vm.clone(), peer) {
             self.loads.remove(previous.loads());
         }
@@ -219,7 +232,7 @@
     /// Sends a heartbeat to all peers, and marks peers as silent.
     pub fn send_heartbeat(&mut self, ctx: &Context<'_>, outgoing: Outgoing, out: &mut Output) {
         let interval = self.heartbeat_interval();
-        self.next_heartbeat_at = ctx.at + interval;
+        self.next_heartbeat_at = ctx.at + jitter(interval, ctx.entropy);
         self.sequence += 1;
         let heartbeat = Heartbeat {
             from: ctx.me.vm.clone(),
@@ -253,18 +266,22 @@
     }
 
     /// Returns the data centres from which no heartbeat has arrived for
-    /// [`DATA_CENTRE_TIMEOUT`], each with the time of the last one. Data centres
-    /// that never sent a heartbeat are not included.
+    /// [`DATA_CENTRE_TIMEOUT`], or for [`MISSED_DATA_CENTRE_HEARTBEATS`] of a
+    /// small one in a large fleet, each with the time of the last one. Data
+    /// centres that never sent a heartbeat are not included.
     pub fn silent_data_centres(&self, now: Moment) -> BTreeMap<DataCentre, Moment> {
-        let mut last_received: BTreeMap<&DataCentre, Moment> = BTreeMap::new();
+        let mut last_received: BTreeMap<&DataCentre, (Moment, u64)> = BTreeMap::new();
         for peer in self.peers.values() {
             let Some(latest) = &peer.latest else { continue };
-            let last = last_received.entry(&peer.member.data_centre).or_default();
+            let (last, vms) = last_received.entry(&peer.member.data_centre).or_default();
             *last = latest.received_at.max(*last);
+            *vms += 1;
         }
+        let missed = self.heartbeat_interval().0 * MISSED_DATA_CENTRE_HEARTBEATS;
+        let timeout = |vms: u64| DATA_CENTRE_TIMEOUT.max(Span(missed / vms.max(1)));
         let silent =
-            last_received.into_iter().filter(|(_, at)| DATA_CENTRE_TIMEOUT <= now.since(*at));
-        silent.map(|(data_centre, at)| (data_centre.clone(), at)).collect()
+            last_received.into_iter().filter(|(_, (at, vms))| timeout(*vms) <= now.since(*at));
+        silent.map(|(data_centre, (at, _))| (data_centre.clone(), at)).collect()
     }
 
     /// Returns the address of a peer.
@@ -274,35 +291,43 @@
 
     /// Ranks this VM and the live peers of its data centre as readers of the
     /// store.
-    pub fn rank_data_centre(&self, me: &Identity) -> Ranking {
-        self.rank(me, |member| member.data_centre == me.data_centre)
+    pub fn rank_data_centre(&self, ctx: &Context<'_>) -> Ranking {
+        self.rank(ctx, |member| member.data_centre == ctx.me.data_centre)
+    }
+
+    /// Ranks this VM and the live peers of all data centres from which heartbeats
+    /// arrive as readers of the store. A data centre that is cut off has readers
+    /// of its own.
+    pub fn rank_reachable(&self, ctx: &Context<'_>) -> Ranking {
+        let silent = self.silent_data_centres(ctx.at);
+        self.rank(ctx, |member| !silent.contains_key(&member.data_centre))
     }
 
     /// Returns true if this VM writes for the whole fleet, which is true of the
     /// first in the ranking of all live VMs. VMs that are cut off from each
     /// other may each be first.
-    pub fn writes_for_fleet(&self, me: &Identity) -> bool {
-        self.rank(me, |_| true).is_first()
+    pub fn writes_for_fleet(&self, ctx: &Context<'_>) -> bool {
+        self.rank(ctx, |_| true).is_first()
     }
 
-    fn rank(&self, me: &Identity, filter: impl Fn(&Member) -> bool) -> Ranking {
-        let live = self.peers.values().filter(|peer| peer.live);
-        let peers = live.map(|peer| &peer.member).filter(|member| filter(member));
+    fn rank(&self, ctx: &Context<'_>, filter: impl Fn(&Member) -> bool) -> Ranking {
+        let me = ctx.me;
+        let ranked = self.peers.values().filter(|peer| peer.is_ranked(ctx.at));
+        let peers = ranked.map(|peer| &peer.member).filter(|member| filter(member));
         let peers = peers.map(|member| (member.vm.clone(), member.link));
         Ranking::new(&me.vm, peers.chain([(me.vm.clone(), me.link)]).collect())
     }
 
     /// Returns the peer of any data centre whose configuration was confirmed
-    /// last, if that is recent enough for a delegate.
-    pub fn freshest(&self, now: Moment) -> Option<(VmId, SocketAddr)> {
+    /// last, if it is at most `max_age` old.
+    pub fn freshest(&self, now: Moment, max_age: Span) -> Option<(VmId, SocketAddr)> {
         let age = |peer: &Peer| -> Option<Span> {
             let latest = peer.latest.as_ref()?;
             Some(latest.revision_age? + now.since(latest.received_at))
         };
         let live = self.peers.values().filter(|peer| peer.live);
         let ages = live.filter_map(|peer| Some((age(peer)?, &peer.member)));
-        let (_, member) =
-            ages.filter(|(age, _)| *age <= MAX_DELEGATE_AGE).min_by_key(|(age, _)| *age)?;
+        let (_, member) = ages.filter(|(age, _)| *age <= max_age).min_by_key(|(age, _)| *age)?;
         Some((member.vm.clone(), member.address))
     }
 
@@ -336,7 +361,7 @@
         if !self.relay.start_round(ctx.at) {
             return;
         }
-        let ranking = self.rank_data_centre(ctx.me);
+        let ranking = self.rank_data_centre(ctx);
         let relay = self.relay.choose(ctx, ranking.all(), out);
         if relay == ctx.me.vm || self.relay.serves(ctx.at) {
             self.send_sums(ctx, &loads, out);
@@ -390,7 +415,7 @@
         let members = self.peers.values().map(|peer| &peer.member.data_centre);
         let others: BTreeSet<_> = members.filter(|name| **name != ctx.me.data_centre).collect();
         let first = |name: &DataCentre| {
-            let ranking = self.rank(ctx.me, |member| member.data_centre == *name);
+            let ranking = self.rank(ctx, |member| member.data_centre == *name);
             let peers = ranking.all().iter().filter(|vm| **vm != ctx.me.vm);
             peers.take(RELAYS_PER_DATA_CENTRE).filter_map(|vm| self.address(vm)).collect::<Vec<_>>()
         };
@@ -433,3 +458,9 @@
         MIN_HEARTBEAT_INTERVAL.max(Span(HEARTBEAT_INTERVAL_PER_PEER.0 * self.peers.len() as u64))
     }
 }
+
+/// Returns the interval changed by up to a quarter at random, so that VMs that
+/// started together do not send their heartbeats together for ever.
+fn jitter(interval: Span, entropy: u64) -> Span {
+    Span(interval.0 * 3 / 4 + entropy % (interval.0 / 2).max(1))
+}
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -50,7 +50,7 @@
     /// Creates the state of a VM that knows nothing yet.
     pub fn new(me: Identity) -> Self {
         Self {
-            sync: sync::State::new(me.bounds.key_age),
+            sync: sync::State::new(&me.bounds),
             me: Arc::new(me),
             targets: target::State::default(),
             peers: peer::State::default(),
@@ -134,11 +134,11 @@
             return;
         }
         let may_write = self.drain == Drain::No && !self.sync.is_store_failing(ctx.at);
-        if !may_write || !self.peers.writes_for_fleet(ctx.me) {
+        if !may_write || !self.peers.writes_for_fleet(ctx) {
             return;
         }
         match self.cache.holdings(ctx.at).encode() {
-            Ok(holdings) => out.push(Effect::Call(Call::WriteHoldings { holdings })),
+            Ok(holdings) => out.call(Call::WriteHoldings { holdings }, "writer"),
             Err(err) => out.log(Record::new("holdings_not_written").with("reason", err)),
         }
     }
@@ -230,9 +230,12 @@
             return;
         }
         out.log(
-            Record::new("settings").with("key_age", bounds.key_age).with("grace", bounds.grace),
+            Record::new("settings")
+                .with("key_age", bounds.key_age)
+                .with("change", bounds.change)
+                .with("grace", bounds.grace),
         );
-        self.sync.set_key_age(bounds.key_age);
+        self.sync.set_bounds(&bounds);
         self.me = Arc::new(Identity { bounds, ..Identity::clone(&self.me) });
     }
 
--- a/crates/gateway/src/sync/lease.rs
+++ b/crates/gateway/src/sync/lease.rs
@@ -5,9 +5,9 @@
 use briarshift_units::{Moment, Span};
 
 use crate::limit::{
-    LEASE_RENEWAL_DIVISOR, LEASE_RETRY_DELAY, LEASE_TTL, SECRET_WRITE_SPREAD, SYNC_INTERVAL,
+    LEASE_RENEWAL_DIVISOR, LEASE_RETRY_DELAY, LEASE_TTL, MIN_SYNC_INTERVAL, SECRET_WRITE_SPREAD,
 };
-use crate::{Context, Effect, Output};
+use crate::{Context, Output};
 
 /// State of the registration.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
@@ -43,7 +43,7 @@
         }
         let Some(call) = self.next_call(ctx, has_secret) else { return };
         self.call_pending = true;
-        out.push(Effect::Call(call));
+        out.call(call, "member");
     }
 
     /// Returns the next call. The registration comes first: until its peers
@@ -70,7 +70,7 @@
     /// Ends the registration.
     pub(super) fn leave(&mut self, out: &mut Output) {
         if let Lease::Granted { id, .. } | Lease::Registered { id, .. } = self.lease {
-            out.push(Effect::Call(Call::Revoke { lease: id }));
+            out.call(Call::Revoke { lease: id }, "member");
         }
         self.ended = true;
     }
@@ -109,7 +109,7 @@
             // The next read returns the secret, whichever VM wrote it.
             (Call::CreateSecret { .. }, _) => {
                 self.secret_write_at = None;
-                self.next_call_at = ctx.at + SYNC_INTERVAL;
+                self.next_call_at = ctx.at + MIN_SYNC_INTERVAL;
             }
             _ => {}
         }
--- a/crates/gateway/src/sync/mod.rs
+++ b/crates/gateway/src/sync/mod.rs
@@ -8,17 +8,21 @@
 //! of the time at which its query was sent.
 //!
 //! A few VMs of each data centre, the delegates, query the store; the others
-//! query the delegates. If the delegates have only stale data, two backups read
-//! the store at once and the others query the backups. A VM that gets no reply
-//! from its peers, or one without the changes that it needs, queries the store
-//! itself, so that no VM depends on another.
+//! query the delegates. If the bounds on changes leave time for it, two readers
+//! query the store for the whole fleet and the delegates query them (see
+//! [`pace`]). If the delegates have only stale data, two backups read the store
+//! at once and the others query the backups. A VM that gets no reply from its
+//! peers, or one without the changes that it needs, queries the store itself, so
+//! that no VM depends on another.
 //!
 //! The configuration never goes back: an older version is logged and ignored,
 //! whichever reply it comes with.
 
 mod journal;
 mod lease;
+mod pace;
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -33,12 +37,13 @@
 
 use self::journal::Journal;
 use self::lease::Registration;
+use self::pace::Pace;
+use crate::context::call_name;
 use crate::limit::{
-    DELEGATE_INTERVAL, DELEGATE_TIMEOUT, FAILURE_LOG_INTERVAL, MAX_DELEGATE_AGE,
-    STORE_FAILURE_WINDOW, STORE_FALLBACK_AGE, STORE_FALLBACK_STEP, STORE_RETRY_DELAY,
-    SYNC_INTERVAL, SYNC_RETRY_DELAY,
+    DELEGATE_INTERVAL, DELEGATE_TIMEOUT, FAILURE_LOG_INTERVAL, READERS, STORE_FAILURE_WINDOW,
+    STORE_FALLBACK_STEP, STORE_RETRY_DELAY, SYNC_RETRY_DELAY,
 };
-use crate::{Context, Effect, Output, peer};
+use crate::{Bounds, Context, Effect, Output, peer};
 
 /// Rows for the other components.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -54,7 +59,7 @@
 enum Query {
     None,
     Store,
-    Peer { vm: VmId, at: Moment },
+    Peer { vm: VmId, at: Moment, max_age: Span },
 }
 
 /// What this VM knows of the store.
@@ -63,6 +68,7 @@
     catalog: Option<Arc<Catalog>>,
     version: Option<Version>,
     freshness: Freshness,
+    pace: Pace,
     secret: Option<Secret>,
     registration: Registration,
     journal: Journal,
@@ -80,6 +86,10 @@
     /// The delegate that last failed to reply; none after a reply from the
     /// store.
     failed_delegate: Option<VmId>,
+    /// VMs that did not reply, or with stale data, or that the store fails, and
+    /// when. Delegates don't
+    /// query them as readers for a while.
+    failed_readers: BTreeMap<VmId, Moment>,
     /// When a call to the store last failed, here or on a peer that replied.
     failure_seen_at: Option<Moment>,
     /// When this VM's latest read of the store failed; `None` if it succeeded.
@@ -89,12 +99,13 @@
 
 impl State {
     /// Creates the state of a VM that has read nothing. It serves requests with
-    /// keys until its configuration is `key_age` old.
-    pub fn new(key_age: Span) -> Self {
+    /// keys until its configuration is as old as the bounds allow.
+    pub fn new(bounds: &Bounds) -> Self {
         Self {
             catalog: None,
             version: None,
-            freshness: Freshness::new(key_age),
+            freshness: Freshness::new(bounds.key_age),
+            pace: Pace::new(bounds.change, bounds.key_age),
             secret: None,
             registration: Registration::default(),
             journal: Journal::default(),
@@ -105,6 +116,7 @@
             delegates_lack_changes: false,
             delegates_stale: false,
             failed_delegate: None,
+            failed_readers: BTreeMap::new(),
             failure_seen_at: None,
             store_failed_at: None,
             failure_logged_at: None,
@@ -121,10 +133,10 @@
         &self.freshness
     }
 
-    /// Changes the maximum age of the configuration at which requests with keys
-    /// are served.
-    pub fn set_key_age(&mut self, key_age: Span) {
-        self.freshness.set_max_age(key_age);
+    /// Applies changed bounds.
+    pub fn set_bounds(&mut self, bounds: &Bounds) {
+        self.freshness.set_max_age(bounds.key_age);
+        self.pace = Pace::new(bounds.change, bounds.key_age);
     }
 
     /// Returns true if a call to the store failed recently, here or on a peer
@@ -136,6 +148,7 @@
     /// Sends the queries that are due.
     pub fn tick(&mut self, ctx: &Context<'_>, peers: &peer::State, out: &mut Output) {
         self.expire_query(ctx, out);
+        self.failed_readers.retain(|_, at| ctx.at.since(*at) < STORE_RETRY_DELAY);
         if self.query == Query::None && self.next_query_at <= ctx.at {
             self.start_query(ctx, peers, out);
         }
@@ -151,58 +164,104 @@
 
     /// Gives up the query of a delegate that has not replied in time.
     fn expire_query(&mut self, ctx: &Context<'_>, out: &mut Output) {
-        let Query::Peer { vm, at } = &self.query else { return };
+        let Query::Peer { vm, at, .. } = &self.query else { return };
         if ctx.at.since(*at) < DELEGATE_TIMEOUT {
             return;
         }
         out.log(Record::new("delegate_silent").with("peer", vm));
         self.failed_delegate = Some(vm.clone());
+        self.failed_readers.insert(vm.clone(), ctx.at);
         self.query = Query::None;
     }
 
     fn start_query(&mut self, ctx: &Context<'_>, peers: &peer::State, out: &mut Output) {
         let Some(after) = self.version else {
             self.query = Query::Store;
-            return out.push(Effect::Call(Call::ReadAll { newest: self.compacted }));
+            return out.call(Call::ReadAll { newest: self.compacted }, "start");
         };
         if self.unconfirmed && !self.has_store_failed(ctx.at) {
             self.query = Query::Store;
-            return out.push(Effect::Call(Call::ReadCatalog { after }));
+            return out.call(Call::ReadCatalog { after }, "start");
         }
-        if let Some((vm, address)) = self.peer_to_ask(ctx, peers) {
+        if let Some((vm, address, max_age)) = self.peer_to_ask(ctx, peers) {
             let request = Request { from: ctx.me.vm.clone(), sent_at: ctx.at, after: after.0 };
-            self.query = Query::Peer { vm, at: ctx.at };
+            self.query = Query::Peer { vm, at: ctx.at, max_age };
             return out.push(Effect::Send { address, datagram: Datagram::SyncRequest(request) });
         }
         self.query = Query::Store;
-        out.push(Effect::Call(Call::ReadChanges { after, wait: Span::ZERO }));
+        out.call(Call::ReadChanges { after, wait: Span::ZERO }, self.role(ctx, peers));
     }
 
     /// Returns the peer to query, or `None` if this VM must query the store
     /// itself: it is a delegate, it must not wait for its peers any longer, or
     /// the delegates lack changes that it needs. For a while after its own read
     /// of the store has failed, it first queries any peer with recent data, and
-    /// the age of its own data does not make it query the store.
-    fn peer_to_ask(&self, ctx: &Context<'_>, peers: &peer::State) -> Option<(VmId, SocketAddr)> {
-        let ranking = peers.rank_data_centre(ctx.me);
+    /// the age of its own data does not make it query the store. The last value is
+    /// the maximum age of the peer's data.
+    fn peer_to_ask(
+        &self,
+        ctx: &Context<'_>,
+        peers: &peer::State,
+    ) -> Option<(VmId, SocketAddr, Span)> {
+        let max_age = self.pace.max_delegate_age();
+        let ranking = peers.rank_data_centre(ctx);
         let failed = self.has_store_failed(ctx.at);
         if self.delegates_lack_changes || (!failed && self.must_query_store(ctx, &ranking)) {
             return None;
         }
         // A VM of any data centre that still reaches the store can respond.
         if (failed || self.delegates_stale)
-            && let Some(freshest) = peers.freshest(ctx.at)
+            && let Some((vm, address)) = peers.freshest(ctx.at, max_age)
         {
-            return Some(freshest);
+            return Some((vm, address, max_age));
         }
         if ranking.is_delegate() {
-            return None;
+            return self.reader_to_ask(ctx, peers);
         }
         let sources = if self.delegates_stale { ranking.backups() } else { ranking.delegates() };
         let is_usable =
             |vm: &&VmId| **vm != ctx.me.vm && Some(*vm) != self.failed_delegate.as_ref();
         let vm = sources.iter().chain(ranking.delegates()).find(is_usable)?;
-        Some((vm.clone(), peers.address(vm)?))
+        Some((vm.clone(), peers.address(vm)?, max_age))
+    }
+
+    /// Returns the reader that this delegate is to query, or `None` if it must
+    /// query the store itself.
+    fn reader_to_ask(
+        &self,
+        ctx: &Context<'_>,
+        peers: &peer::State,
+    ) -> Option<(VmId, SocketAddr, Span)> {
+        if !self.pace.has_readers {
+            return None;
+        }
+        let ranking = peers.rank_reachable(ctx);
+        let readers = &ranking.all()[..READERS.min(ranking.all().len())];
+        if readers.contains(&ctx.me.vm) {
+            return None;
+        }
+        let has_failed = |vm: &VmId| {
+            self.failed_readers.get(vm).is_some_and(|at| ctx.at.since(*at) < STORE_RETRY_DELAY)
+        };
+        let vm = readers.iter().find(|vm| !has_failed(vm))?;
+        Some((vm.clone(), peers.address(vm)?, self.pace.max_reader_age()))
+    }
+
+    /// Returns as what this VM reads changes from the store.
+    fn role(&self, ctx: &Context<'_>, peers: &peer::State) -> &'static str {
+        if self.delegates_lack_changes {
+            return "behind";
+        }
+        let reachable = peers.rank_reachable(ctx);
+        if self.pace.has_readers && reachable.all().iter().take(READERS).any(|vm| *vm == ctx.me.vm)
+        {
+            return "reader";
+        }
+        let ranking = peers.rank_data_centre(ctx);
+        if ranking.is_delegate() {
+            return "delegate";
+        }
+        if ranking.fallback_rank().is_none() { "backup" } else { "fallback" }
     }
 
     /// Returns true if this VM's latest read of the store failed recently.
@@ -214,13 +273,13 @@
     fn must_query_store(&self, ctx: &Context<'_>, ranking: &peer::Ranking) -> bool {
         let age = self.freshness.confirmed_at().map(|at| ctx.at.since(at));
         let Some(rank) = ranking.fallback_rank() else {
-            return self.delegates_stale || age.is_none_or(|age| STORE_FALLBACK_AGE <= age);
+            return self.delegates_stale || age.is_none_or(|age| self.pace.fallback_age <= age);
         };
         // While peers report that the store is failing, this VM waits for its
         // turn, so that not all VMs call the store at once.
         let is_outage = self.delegates_stale && self.is_store_failing(ctx.at);
         let delay = if is_outage { STORE_FALLBACK_STEP.0 * (rank as u64 + 1) } else { 0 };
-        age.is_none_or(|age| STORE_FALLBACK_AGE + Span(delay) <= age)
+        age.is_none_or(|age| self.pace.fallback_age + Span(delay) <= age)
     }
 
     /// Responds to a peer's request, if this VM knows enough.
@@ -252,9 +311,14 @@
         response: Response,
         out: &mut Output,
     ) -> Option<Update> {
-        if self.query != (Query::Peer { vm: response.from.clone(), at: response.request_sent_at }) {
-            return None;
-        }
+        let max_age = match &self.query {
+            Query::Peer { vm, at, max_age }
+                if *vm == response.from && *at == response.request_sent_at =>
+            {
+                *max_age
+            }
+            _ => return None,
+        };
         self.query = Query::None;
         if response.store_failing {
             self.failure_seen_at = Some(ctx.at);
@@ -264,8 +328,11 @@
             self.delegates_lack_changes = true;
             return None;
         };
-        let were_stale =
-            std::mem::replace(&mut self.delegates_stale, MAX_DELEGATE_AGE < response.age);
+        let were_stale = std::mem::replace(&mut self.delegates_stale, max_age < response.age);
+        // A reader that the store fails may pass on what it heard from this VM.
+        if self.delegates_stale || response.store_failing {
+            self.failed_readers.insert(response.from.clone(), ctx.at);
+        }
         // Backups are queried at once only if this is the first stale response,
         // and only if the store has not just failed this VM.
         let asks_backups = self.delegates_stale && !were_stale && self.store_failed_at.is_none();
@@ -301,7 +368,7 @@
         };
         self.query = Query::None;
         self.next_query_at =
-            if result.is_ok() { sent + SYNC_INTERVAL } else { ctx.at + SYNC_RETRY_DELAY };
+            if result.is_ok() { sent + self.pace.read_interval } else { ctx.at + SYNC_RETRY_DELAY };
         self.store_failed_at = result.is_err().then_some(ctx.at);
         self.delegates_stale = false;
         match result {
@@ -416,17 +483,3 @@
         self.catalog = Some(Arc::clone(catalog));
     }
 }
-
-fn call_name(call: &Call) -> &'static str {
-    match call {
-        Call::ReadAll { .. } => "read",
-        Call::ReadCatalog { .. } => "catalog",
-        Call::ReadChanges { .. } => "changes",
-        Call::Grant { .. } => "grant",
-        Call::Renew { .. } => "renew",
-        Call::Revoke { .. } => "revoke",
-        Call::Register { .. } => "announce",
-        Call::CreateSecret { .. } => "found",
-        Call::WriteHoldings { .. } => "hold",
-    }
-}
--- a/crates/gateway/tests/all/main.rs
+++ b/crates/gateway/tests/all/main.rs
@@ -2,10 +2,12 @@
 
 mod delegate;
 mod drain;
+mod fleet;
 mod load;
 mod poison;
 mod prompt;
 mod random;
+mod reader;
 mod relay;
 mod retry;
 mod start;
--- a/crates/gateway/tests/all/world.rs
+++ b/crates/gateway/tests/all/world.rs
@@ -39,6 +39,7 @@
 pub fn bounds() -> Bounds {
     Bounds {
         key_age: Span::from_secs(3),
+        change: Span::from_secs(2),
         retry_budget: Budget { ratio: 0.2, allowance: 50.0, length: Span::from_secs(10) },
         engine_load: Bound { factor: 1.8, extra: 3, backlog: 14_000 },
         grace: Span::from_secs(8),
--- a/crates/model/src/fleet/vm.rs
+++ b/crates/model/src/fleet/vm.rs
@@ -57,6 +57,7 @@
         secret: Secret([rng.u8(..); 32]),
         bounds: Bounds {
             key_age: Span::from_secs(3),
+            change: Span::from_secs(2),
             retry_budget: Budget { ratio: 0.2, allowance: 36.0, length: Span::from_secs(10) },
             engine_load: Bound { factor: 1.8, extra: 3, backlog: 14_000 },
             grace: Span::from_secs(8),
--- a/crates/settings/src/gateway.rs
+++ b/crates/settings/src/gateway.rs
@@ -64,6 +64,16 @@
     /// that can't reach the store.
     #[schemars(range(min = 1500))]
     pub revoke_ms: u64,
+    /// Longest time until a change of the configuration is in force on every VM that reaches the
+    /// store, in milliseconds. The longer this and `leave_ms` are, the less often the store is
+    /// read.
+    #[serde(default = "default_change_ms")]
+    #[schemars(range(min = 1))]
+    pub config_ms: u64,
+    /// Longest time until a target that leaves gets no new requests, in milliseconds.
+    #[serde(default = "default_change_ms")]
+    #[schemars(range(min = 1))]
+    pub leave_ms: u64,
     /// Longest duration of a graceful shutdown, in seconds.
     #[schemars(range(min = 1.0, max = 86_400.0))]
     pub grace_s: f64,
@@ -112,6 +122,11 @@
     }
 }
 
+/// Returns the bound on changes that holds if the settings state none.
+fn default_change_ms() -> u64 {
+    2_000
+}
+
 fn is_zero(rate: &f64) -> bool {
     *rate == 0.0
 }
--- a/crates/settings/tests/all/gateway.rs
+++ b/crates/settings/tests/all/gateway.rs
@@ -36,6 +36,17 @@
     assert_eq!((settings.vm.as_str(), settings.bounds.revoke_ms), ("vm-1", 5000));
 }
 
+#[test]
+fn bounds_on_changes_have_a_default() {
+    let mut given = settings();
+    let parsed = Gateway::parse(given.to_string().as_bytes()).unwrap();
+    assert_eq!((parsed.bounds.config_ms, parsed.bounds.leave_ms), (2_000, 2_000));
+    given["bounds"]["config_ms"] = json!(3_000);
+    given["bounds"]["leave_ms"] = json!(4_000);
+    let parsed = Gateway::parse(given.to_string().as_bytes()).unwrap();
+    assert_eq!((parsed.bounds.config_ms, parsed.bounds.leave_ms), (3_000, 4_000));
+}
+
 #[test]
 fn all_faults_are_reported_at_once() {
     let paths = faults(|settings| {
