End answers and streams that go on without end

Cause: bytes that are no answer may come until the reader closes. A body that is read whole had no limit, the rest of a target's refusal was read without limit or time, and a stream past its deadline went on for as long as any byte arrived every 60 ms, events or not.

Change: a body that is read whole has at most 8 MiB and is broken beyond; the body of a refusal is read for 0.5 s and 64 KiB, then its connection is closed. Only complete events extend the wait of a stream, and none is relayed later than a second past its deadline.

Heads without end were bounded already.

--- a/crates/daemon/src/gateway/relay.rs
+++ b/crates/daemon/src/gateway/relay.rs
@@ -21,8 +21,8 @@
 
 use super::clock;
 use super::task::{
-    CallerGuard, FailedAttempt, Job, TargetAnswer, Worker, failed_attempt, interrupted,
-    send_timeout,
+    CallerGuard, FailedAttempt, Job, TargetAnswer, Worker, event_timeout, failed_attempt,
+    interrupted,
 };
 
 /// A stream that is being relayed.
@@ -95,28 +95,33 @@
         }
     }
 
-    /// Reads from the target until at least one event is complete.
+    /// Reads from the target until at least one event is complete. Bytes that complete
+    /// no event don't extend the wait.
     async fn read_events(&mut self) -> Progress {
+        const OVERDUE: &str = "the deadline passed before the end of the stream";
+        let Some(wait) = event_timeout(&self.send, clock::now()) else {
+            return Progress::Interrupted(interrupted_stream(OVERDUE));
+        };
+        let read = timeout(wait, self.read_to_event()).await;
+        read.unwrap_or_else(|_| Progress::Interrupted(interrupted_stream(OVERDUE)))
+    }
+
+    async fn read_to_event(&mut self) -> Progress {
         let Some(body) = &mut self.body else {
             return Progress::Interrupted(
                 interrupted("the connection to the target is closed").into(),
             );
         };
         loop {
-            let chunk = match timeout(send_timeout(&self.send, clock::now()), body.chunk()).await {
-                Ok(Ok(Some(chunk))) => chunk,
-                Ok(Ok(None)) if self.splitter.is_at_event_boundary() => return Progress::End,
-                Ok(Ok(None)) => {
+            let chunk = match body.chunk().await {
+                Ok(Some(chunk)) => chunk,
+                Ok(None) if self.splitter.is_at_event_boundary() => return Progress::End,
+                Ok(None) => {
                     return Progress::Interrupted(interrupted_stream(
                         "the stream ends within an event",
                     ));
                 }
-                Ok(Err(failure)) => return Progress::Interrupted(failed_attempt(failure, true)),
-                Err(_) => {
-                    return Progress::Interrupted(interrupted_stream(
-                        "the deadline passed before the end of the stream",
-                    ));
-                }
+                Err(failure) => return Progress::Interrupted(failed_attempt(failure, true)),
             };
             match self.splitter.push(&chunk) {
                 Ok(events) if events.is_empty() => {}
--- a/crates/daemon/src/gateway/task.rs
+++ b/crates/daemon/src/gateway/task.rs
@@ -33,6 +33,10 @@
 /// target itself enforces the deadline, and its answer to that takes some time to
 /// arrive.
 const ANSWER_SLACK: Duration = Duration::from_millis(60);
+/// Time beyond a request's deadline after which its stream is ended although events
+/// still arrive. A target stops at the deadline, and what it has sent by then arrives
+/// within this time on a slow link.
+const STREAM_SLACK: Duration = Duration::from_secs(1);
 
 /// A command from the control thread to the traffic thread.
 pub(crate) enum Command {
@@ -304,7 +308,7 @@
             return Err(interrupted("the answer names another attempt"));
         }
         if response_headers.not_executed || status == StatusCode::MISDIRECTED_REQUEST {
-            actix_rt::spawn(body.read_to_end());
+            actix_rt::spawn(body.close());
             let moved = status == StatusCode::MISDIRECTED_REQUEST;
             return Err(End::NotRun { status: status.as_u16(), moved });
         }
@@ -371,6 +375,13 @@
 }
 
 /// Returns how long to wait for an answer to end.
-pub(super) fn send_timeout(send: &Send, now: Moment) -> Duration {
+fn send_timeout(send: &Send, now: Moment) -> Duration {
     Duration::from(send.deadline.since(now)) + ANSWER_SLACK
 }
+
+/// Returns how long to wait for the next event of a stream, or `None` if no more
+/// events are relayed. Up to the deadline a target may take its time between events.
+pub(super) fn event_timeout(send: &Send, now: Moment) -> Option<Duration> {
+    let overdue = Duration::from(now.since(send.deadline));
+    (overdue < STREAM_SLACK).then(|| send_timeout(send, now))
+}
--- a/crates/forward/src/connection.rs
+++ b/crates/forward/src/connection.rs
@@ -1,13 +1,25 @@
 //! Requests and responses.
 
-use bytes::Bytes;
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
 use http::{HeaderMap, Method, StatusCode};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use smol_str::SmolStr;
+use tokio::time::timeout;
 
 use crate::pool::Connection;
 
+/// Largest body that is read as a whole, in bytes. A target in trouble may send
+/// bytes without end, and a VM has a few hundred megabytes for all requests.
+pub const MAX_BODY: usize = 8 << 20;
+/// Largest body that is read only to keep its connection, in bytes. Reading more
+/// costs more than a new connection.
+const MAX_UNUSED_BODY: usize = 64 << 10;
+/// Longest time to read such a body.
+const UNUSED_BODY_TIMEOUT: Duration = Duration::from_millis(500);
+
 /// A request to a target.
 #[derive(Debug, Clone)]
 pub struct Request {
@@ -86,18 +98,37 @@
         }
     }
 
-    /// Reads the rest of the body.
+    /// Reads the rest of the body, which may have at most [`MAX_BODY`] bytes.
     ///
     /// # Errors
     ///
-    /// Returns [`Failure::Broken`] if the connection ends before the body does.
+    /// Returns [`Failure::Broken`] if the connection ends before the body does,
+    /// or the body is longer. The connection is then closed.
     pub async fn read_to_end(mut self) -> Result<Bytes, Failure> {
-        let Some(first) = self.chunk().await? else { return Ok(Bytes::new()) };
-        let mut all = Vec::from(first);
+        let mut all = BytesMut::new();
         while let Some(bytes) = self.chunk().await? {
+            if MAX_BODY < all.len() + bytes.len() {
+                return Err(Failure::Broken(format!("longer than {MAX_BODY} bytes").into()));
+            }
             all.extend_from_slice(&bytes);
         }
-        Ok(all.into())
+        Ok(all.freeze())
+    }
+
+    /// Reads the rest of a body that nobody needs, so that its connection can be
+    /// used again. If that takes long, closes the connection instead.
+    pub async fn close(mut self) {
+        let mut len = 0;
+        let read = async {
+            while let Ok(Some(bytes)) = self.chunk().await {
+                len += bytes.len();
+                if MAX_UNUSED_BODY < len {
+                    return;
+                }
+            }
+        };
+        // The connection is closed when the body is dropped, after either outcome.
+        let _ = timeout(UNUSED_BODY_TIMEOUT, read).await;
     }
 }
 
--- a/crates/forward/tests/all/main.rs
+++ b/crates/forward/tests/all/main.rs
@@ -223,3 +223,52 @@
         }
     }
 }
+
+/// Starts a target that writes the head of a response to one request, and then the
+/// same bytes without end.
+async fn endless_target(head: &'static str, bytes: &'static [u8]) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::task::spawn_local(async move {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        let _ = stream.read(&mut [0; 4096]).await;
+        let _ = stream.write_all(head.as_bytes()).await;
+        while stream.write_all(bytes).await.is_ok() {
+            tokio::task::yield_now().await;
+        }
+    });
+    address
+}
+
+#[track_caller]
+fn check_endless(head: &'static str, bytes: &'static [u8]) {
+    check(&[], async |client, _| {
+        let address = endless_target(head, bytes).await;
+        let answer = call(&client, address).await;
+        assert!(matches!(answer, Err(Failure::Broken(_))), "{answer:?}");
+        settle().await;
+        assert_eq!(client.open_connections(address), 0);
+    });
+}
+
+/// A target in trouble may send bytes that are no answer until the client closes.
+#[test]
+fn answers_without_end_are_broken() {
+    const CHUNKED: &str = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    check_endless("HTTP/1.1 200 OK\r\n", b"X-Junk: 0123456789abcdef\r\n");
+    check_endless("", b"no answer at all ");
+    check_endless("HTTP/1.1 200 OK\r\n\r\n", &[b'x'; 4096]);
+    let chunk = format!("1000\r\n{}\r\n", "x".repeat(0x1000));
+    check_endless(CHUNKED, chunk.leak().as_bytes());
+}
+
+#[test]
+fn a_body_without_end_that_nobody_needs_closes_its_connection() {
+    check(&[], async |client, _| {
+        let address = endless_target("HTTP/1.1 421 Moved\r\n\r\n", &[b'x'; 4096]).await;
+        let ready = client.connect(address, Freshness::Open, 4).await.unwrap();
+        client.send(ready, request()).await.unwrap().body.close().await;
+        settle().await;
+        assert_eq!(client.open_connections(address), 0);
+    });
+}
