Answer peers while all rows are read again; spread the first heartbeats

Change: a VM that has lost its history goes on answering with what it knows; a delegate asks the other reader before it reads itself; second heartbeats are spread over the whole interval.

Test: after a lost history only the two readers read all rows (24 VMs of 60 did before).

--- a/crates/gateway/src/peer/mod.rs
+++ b/crates/gateway/src/peer/mod.rs
@@ -232,7 +232,12 @@
     /// Sends a heartbeat to all peers, and marks peers as silent.
     pub fn send_heartbeat(&mut self, ctx: &Context<'_>, outgoing: Outgoing, out: &mut Output) {
         let interval = self.heartbeat_interval();
-        self.next_heartbeat_at = ctx.at + jitter(interval, ctx.entropy);
+        // VMs that start together spread their second heartbeats over the interval.
+        let delay = match self.sequence {
+            0 => Span(ctx.entropy % interval.0),
+            _ => jitter(interval, ctx.entropy),
+        };
+        self.next_heartbeat_at = ctx.at + delay;
         self.sequence += 1;
         let heartbeat = Heartbeat {
             from: ctx.me.vm.clone(),
--- a/crates/gateway/src/sync/mod.rs
+++ b/crates/gateway/src/sync/mod.rs
@@ -175,9 +175,10 @@
     }
 
     fn start_query(&mut self, ctx: &Context<'_>, peers: &peer::State, out: &mut Output) {
-        let Some(after) = self.version else {
+        let Some(after) = self.version.filter(|_| !self.compacted) else {
             self.query = Query::Store;
-            return out.call(Call::ReadAll { newest: self.compacted }, "start");
+            let role = if self.compacted { "compacted" } else { "start" };
+            return out.call(Call::ReadAll { newest: self.compacted }, role);
         };
         if self.unconfirmed && !self.has_store_failed(ctx.at) {
             self.query = Query::Store;
@@ -209,6 +210,12 @@
         if self.delegates_lack_changes || (!failed && self.must_query_store(ctx, &ranking)) {
             return None;
         }
+        // If one reader has only stale data, the other may have read since.
+        if ranking.is_delegate()
+            && let Some(reader) = self.reader_to_ask(ctx, peers)
+        {
+            return Some(reader);
+        }
         // A VM of any data centre that still reaches the store can respond.
         if (failed || self.delegates_stale)
             && let Some((vm, address)) = peers.freshest(ctx.at, max_age)
@@ -216,7 +223,7 @@
             return Some((vm, address, max_age));
         }
         if ranking.is_delegate() {
-            return self.reader_to_ask(ctx, peers);
+            return None;
         }
         let sources = if self.delegates_stale { ranking.backups() } else { ranking.delegates() };
         let is_usable =
@@ -273,7 +280,9 @@
     fn must_query_store(&self, ctx: &Context<'_>, ranking: &peer::Ranking) -> bool {
         let age = self.freshness.confirmed_at().map(|at| ctx.at.since(at));
         let Some(rank) = ranking.fallback_rank() else {
-            return self.delegates_stale || age.is_none_or(|age| self.pace.fallback_age <= age);
+            let is_stale =
+                self.delegates_stale && !(self.pace.has_readers && ranking.is_delegate());
+            return is_stale || age.is_none_or(|age| self.pace.fallback_age <= age);
         };
         // While peers report that the store is failing, this VM waits for its
         // turn, so that not all VMs call the store at once.
@@ -396,8 +405,10 @@
                 Some(self.apply_rows(rows, false, known.unwrap_or(version), Some(sent), out))
             }
             Err(Error::Compacted) => {
+                // Until it has read all rows, this VM still responds to its peers
+                // with what it knows, so that they don't read all rows too.
                 self.compacted = true;
-                let version = self.version.take().unwrap_or_default();
+                let version = self.version.unwrap_or_default();
                 out.log(Record::new("store_compacted").with("version", version.0));
                 self.next_query_at = ctx.at;
                 None
--- a/crates/gateway/tests/all/fleet.rs
+++ b/crates/gateway/tests/all/fleet.rs
@@ -17,6 +17,8 @@
 
 /// Time between two events of the fleet.
 const STEP: Span = Span::from_millis(25);
+/// How long the store takes to reply with all rows.
+const FULL_READ_TIME: Span = Span::from_millis(400);
 /// The operators' bound on changes.
 pub const CHANGE: Span = Span::from_secs(3);
 /// How long a target runs a request.
@@ -43,12 +45,16 @@
     pub cut_from_store: BTreeSet<SocketAddr>,
     /// Data centres that reach no other one.
     pub cut_off: BTreeSet<&'static str>,
+    /// Reads of all rows.
+    pub full_reads: usize,
     calls: Vec<(SocketAddr, Call, Moment)>,
+    rows: Vec<Row>,
+    /// The store's version, and the oldest one whose changes it still has.
+    version: u64,
+    history: u64,
     /// Requests at each target, each with the VM and when it ends.
     pub running: BTreeMap<TargetId, Vec<(Moment, SocketAddr, Decision)>>,
     requests: u64,
-    /// Number of rows in the store.
-    rows: u64,
     /// Sends, and those to a target over the operators' bound on its load.
     pub sends: usize,
     pub overloads: usize,
@@ -86,10 +92,13 @@
             readers: BTreeSet::new(),
             cut_from_store: BTreeSet::new(),
             cut_off: BTreeSet::new(),
+            full_reads: 0,
             calls: Vec::new(),
+            rows: rows.clone(),
+            version: rows.len() as u64,
+            history: 0,
             running: targets.iter().map(|(id, _)| (id.parse().unwrap(), Vec::new())).collect(),
             requests: 0,
-            rows: rows.len() as u64,
             sends: 0,
             overloads: 0,
             random: 1,
@@ -180,21 +189,36 @@
         }
     }
 
-    /// Replies to the calls of the last step. Nothing ever changes in the store.
+    /// Makes the store drop its history.
+    pub fn compact(&mut self) {
+        self.version += 1;
+        self.history = self.version;
+    }
+
+    /// Replies to the calls of the last step, and to reads of all rows after
+    /// [`FULL_READ_TIME`]. Nothing else ever changes in the store.
     fn reply_to_calls(&mut self) {
-        for (vm, call, sent) in std::mem::take(&mut self.calls) {
+        let is_due = |(_, call, sent): &(SocketAddr, Call, Moment)| {
+            !matches!(call, Call::ReadAll { .. }) || FULL_READ_TIME <= self.now.since(*sent)
+        };
+        let (due, rest) = std::mem::take(&mut self.calls).into_iter().partition(is_due);
+        self.calls = rest;
+        for (vm, call, sent) in due {
             if self.stopped.contains(&vm) {
                 continue;
             }
-            let version = Version(self.rows);
+            let version = Version(self.version);
             let rows = Ok(Reply::Rows { rows: Vec::new(), version });
             let lease = Lease { id: LeaseId(1), ttl: Span::from_secs(30) };
             let result = match &call {
                 _ if self.cut_from_store.contains(&vm) => Err(Error::Unknown("cut off".into())),
+                Call::ReadChanges { after, .. } if after.0 < self.history => Err(Error::Compacted),
+                Call::ReadAll { .. } => Ok(Reply::Rows { rows: self.rows.clone(), version }),
                 Call::ReadChanges { .. } | Call::ReadCatalog { .. } => rows,
                 Call::Grant { .. } | Call::Renew { .. } => Ok(Reply::Leased(lease)),
                 _ => Ok(Reply::Done),
             };
+            self.full_reads += usize::from(matches!(call, Call::ReadAll { .. }));
             if matches!(call, Call::ReadChanges { .. }) {
                 self.reads += 1;
                 self.readers.insert(vm);
--- a/crates/gateway/tests/all/reader.rs
+++ b/crates/gateway/tests/all/reader.rs
@@ -76,3 +76,17 @@
     let kept: Vec<_> = vms().take(5).map(data_centre).collect();
     assert_eq!(kept, ["a", "b", "c", "d", "e"]);
 }
+
+/// A reader that read all rows after the store had dropped its history did not
+/// respond meanwhile, so that delegates, and then all other VMs, read them too.
+#[test]
+fn a_lost_history_makes_only_the_readers_read_all_rows() {
+    let (mut fleet, _) = settled();
+    fleet.full_reads = 0;
+    fleet.compact();
+    for _ in 0..100 {
+        fleet.run(Span::from_millis(50), 0.0);
+        assert!(fleet.max_age() <= CHANGE.as_millis(), "{} ms", fleet.max_age());
+    }
+    assert_eq!(fleet.full_reads, 2);
+}
