--- a/crates/routing/tests/all/main.rs
+++ b/crates/routing/tests/all/main.rs
@@ -7,4 +7,5 @@
 mod rank;
 mod retry_window;
 mod selection;
+mod spread;
 mod token;
--- a/tests/all/gateway.rs
+++ b/tests/all/gateway.rs
@@ -83,8 +83,12 @@
 }
 
 /// Renders the settings template with values like those that the platform fills in.
-fn rendered_template() -> String {
-    let template = include_str!("../../deploy/process.json");
+/// The bounds on changes are absent on some deployments.
+fn rendered_template(has_change_bounds: bool) -> String {
+    let mut template = include_str!("../../deploy/process.json").to_owned();
+    for name in ["bounds.config-deadline-ms", "bounds.drain-ms"] {
+        template = render_section(&template, name, has_change_bounds);
+    }
     let values = [
         ("{{node-name}}", "front-a-1"),
         ("{{zone}}", "a"),
@@ -95,20 +99,32 @@
         ("{{platform.address}}", "10.200.1.7:8223"),
         ("{{limits.link-mbps|json}}", "1000.0"),
         ("{{bounds.revoke-ms|json}}", "5000"),
+        ("{{bounds.config-deadline-ms|json}}", "4000"),
+        ("{{bounds.drain-ms|json}}", "3000"),
         ("{{bounds.grace-s|json}}", "8"),
         ("{{bounds.retry-budget-ratio|json}}", "0.2"),
         ("{{bounds.budget-extra|json}}", "52"),
         ("{{bounds.budget-window-s|json}}", "10"),
         ("{{bounds.cap-x|json}}", "2"),
     ];
-    values.iter().fold(template.to_owned(), |text, (name, value)| text.replace(name, value))
+    values.iter().fold(template, |text, (name, value)| text.replace(name, value))
+}
+
+/// Renders a section, which is left out if its value is absent.
+fn render_section(template: &str, name: &str, is_present: bool) -> String {
+    let (start, end) = (format!("{{{{#{name}}}}}"), format!("{{{{/{name}}}}}"));
+    let (before, rest) = template.split_once(&start).unwrap();
+    let (section, after) = rest.split_once(&end).unwrap();
+    format!("{before}{}{after}", if is_present { section } else { "" })
 }
 
 #[test]
 fn settings_template_renders_valid_settings() {
-    let text = rendered_template();
+    let text = rendered_template(true);
     assert!(!text.contains("{{"), "{text}");
     let settings = Gateway::parse(text.as_bytes()).unwrap();
+    assert_eq!((settings.bounds.config_ms, settings.bounds.leave_ms), (4_000, 3_000));
+    assert!(Gateway::parse(rendered_template(false).as_bytes()).is_ok());
     assert_eq!(settings.vm.as_str(), "front-a-1");
     assert_eq!(settings.store, "http://10.200.1.7:8223");
     assert_eq!(settings.link_mbit_s, 1000.0);
