--- a/crates/gateway/src/peer/mod.rs
+++ b/crates/gateway/src/peer/mod.rs
@@ -9,8 +9,9 @@
 mod load;
 mod ranking;
 mod relay;
+mod report;
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
 use briarshift_logging::Record;
@@ -18,12 +19,10 @@
 use briarshift_units::{DataCentre, Moment, Revision, Span, StartNumber, VmId};
 use briarshift_wire::datagram::Datagram;
 use briarshift_wire::heartbeat::{Crash, Failure, Heartbeat, Load, Placement};
-use briarshift_wire::load::{Report, Scope};
 
 use crate::limit::{
     DATA_CENTRE_TIMEOUT, HEARTBEAT_INTERVAL_PER_PEER, MAX_MISSED_HEARTBEATS,
     MIN_HEARTBEAT_INTERVAL, MISSED_DATA_CENTRE_HEARTBEATS, NEW_PEER_TTL, RELAY_INTERVAL,
-    RELAYS_PER_DATA_CENTRE,
 };
 use crate::sync::Update;
 use crate::{Context, Effect, Identity, Output};
@@ -355,145 +354,6 @@
         (here + 1) as f64 / (live.count() + 1) as f64
     }
 
-    /// Returns true if this VM is to report its loads to its relay.
-    pub fn is_report_due(&self, now: Moment) -> bool {
-        self.uses_relays() && self.relay.is_due(now)
-    }
-
-    /// Returns true if this VM recently heard from a relay, or serves as one.
-    pub fn hears_relay(&self, now: Moment) -> bool {
-        self.relay.fleet(now).is_some()
-    }
-
-    /// Reports this VM's loads, and its placements since the last report, to its
-    /// relay. If this VM serves as a relay, sends sums to the relays of other data
-    /// centres and to the VMs of its own.
-    pub fn report(
-        &mut self,
-        ctx: &Context<'_>,
-        loads: Vec<Load>,
-        placements: Vec<Placement>,
-        out: &mut Output,
-    ) {
-        if !self.relay.start_round(ctx.at) {
-            return;
-        }
-        let ranking = self.rank_data_centre(ctx);
-        let relay = self.relay.choose(ctx, ranking.all(), out);
-        if relay == ctx.me.vm {
-            self.relay.add_near_placements(&placements);
-        }
-        if self.relay.serves(&ctx.me.vm, ctx.at) {
-            self.send_sums(ctx, &loads, out);
-        }
-        if let Some(address) = self.address(&relay) {
-            self.relay.set_reported(loads.clone(), &placements);
-            let report = self.load_report(ctx, Scope::Vm, loads, placements);
-            out.push(Effect::Send { address, datagram: report });
-        }
-    }
-
-    fn send_sums(&mut self, ctx: &Context<'_>, own: &[Load], out: &mut Output) {
-        let own_data_centre = &ctx.me.data_centre;
-        let mut sum = Loads::of(own);
-        self.add_peer_loads(&mut sum, ctx.at, |peer| peer.is_in(own_data_centre));
-        let addresses = self.remote_relays(ctx);
-        let (for_relays, for_vms) = self.relay.take_placements();
-        let datagram = self.load_report(ctx, Scope::DataCentre, sum.to_vec(), for_relays);
-        out.push(Effect::Broadcast { addresses, datagram });
-
-        let known: BTreeSet<_> = self.relay.data_centres(ctx.at).cloned().collect();
-        for loads in known.iter().filter_map(|name| self.relay.data_centre(name, ctx.at)) {
-            sum.add(&loads.to_vec());
-        }
-        self.add_peer_loads(&mut sum, ctx.at, |peer| {
-            !peer.is_in(own_data_centre) && !known.contains(&peer.member.data_centre)
-        });
-        let mates = self.peers.values().filter(|peer| peer.live && peer.is_in(own_data_centre));
-        let addresses = mates.map(|peer| peer.member.address).collect();
-        let loads = sum.to_vec();
-        self.relay.set_reported(own.to_vec(), &[]);
-        self.relay.set_fleet(&ctx.me.vm, &loads, ctx.at);
-        let datagram = self.load_report(ctx, Scope::Fleet, loads, for_vms);
-        out.push(Effect::Broadcast { addresses, datagram });
-    }
-
-    /// Adds the loads of the live peers accepted by `filter`, except of those
-    /// that have missed a heartbeat.
-    fn add_peer_loads(&self, sum: &mut Loads, now: Moment, filter: impl Fn(&Peer) -> bool) {
-        let max_age = Span(self.heartbeat_interval().0 * 2);
-        let is_recent = |peer: &Peer| {
-            peer.latest.as_ref().is_some_and(|it| now.since(it.received_at) < max_age)
-        };
-        for peer in self.peers.values().filter(|peer| filter(peer) && is_recent(peer)) {
-            sum.add(peer.loads());
-        }
-    }
-
-    /// Returns the addresses of the VMs that probably serve as relays in other
-    /// data centres.
-    fn remote_relays(&self, ctx: &Context<'_>) -> Vec<SocketAddr> {
-        let members = self.peers.values().map(|peer| &peer.member.data_centre);
-        let others: BTreeSet<_> = members.filter(|name| **name != ctx.me.data_centre).collect();
-        let first = |name: &DataCentre| {
-            let ranking = self.rank(ctx, |member| member.data_centre == *name);
-            let peers = ranking.all().iter().filter(|vm| **vm != ctx.me.vm);
-            peers.take(RELAYS_PER_DATA_CENTRE).filter_map(|vm| self.address(vm)).collect::<Vec<_>>()
-        };
-        others.into_iter().flat_map(first).collect()
-    }
-
-    fn load_report(
-        &mut self,
-        ctx: &Context<'_>,
-        scope: Scope,
-        loads: Vec<Load>,
-        placements: Vec<Placement>,
-    ) -> Datagram {
-        let (from, start) = (ctx.me.vm.clone(), ctx.me.start);
-        let sequence = self.relay.next_sequence();
-        Datagram::LoadReport(Report { from, start, sequence, scope, loads, placements })
-    }
-
-    /// Applies a report if it is newer than the sender's latest one. Returns the
-    /// placements that this VM does not know yet.
-    pub fn receive_report(&mut self, ctx: &Context<'_>, report: Report) -> Vec<Placement> {
-        let Report { from, start, sequence, scope, loads, placements } = report;
-        let Some(peer) = self.peers.get_mut(&from) else { return Vec::new() };
-        if peer.last_report.is_some_and(|last| (start, sequence) <= last) {
-            return Vec::new();
-        }
-        peer.last_report = Some((start, sequence));
-        match scope {
-            Scope::Vm => {
-                self.relay.record_report(ctx.at);
-                self.relay.add_near_placements(&placements);
-                let latest = peer.latest.as_mut().filter(|latest| latest.start == start);
-                if let Some(latest) = latest.filter(|_| peer.live) {
-                    self.loads.remove(&latest.loads);
-                    self.loads.add(&loads);
-                    latest.received_at = ctx.at;
-                    latest.loads = loads;
-                }
-                placements
-            }
-            Scope::DataCentre => {
-                let data_centre = peer.member.data_centre.clone();
-                self.relay.set_data_centre(data_centre, &loads, ctx.at);
-                // A VM that is no relay gets these placements from its relay.
-                if !self.relay.serves(&ctx.me.vm, ctx.at) {
-                    return Vec::new();
-                }
-                self.relay.add_remote_placements(&placements);
-                placements
-            }
-            Scope::Fleet => {
-                self.relay.set_fleet(&from, &loads, ctx.at);
-                self.relay.new_placements(&from, placements)
-            }
-        }
-    }
-
     fn heartbeat_interval(&self) -> Span {
         MIN_HEARTBEAT_INTERVAL.max(Span(HEARTBEAT_INTERVAL_PER_PEER.0 * self.peers.len() as u64))
     }
--- a/crates/gateway/src/peer/relay.rs
+++ b/crates/gateway/src/peer/relay.rs
@@ -143,7 +143,7 @@
     }
 
     /// Adds placements of VMs of this data centre that are to be passed on.
-    pub(super) fn add_near_placements(&mut self, placements: &[Placement]) {
+    pub(super) fn add_local_placements(&mut self, placements: &[Placement]) {
         extend(&mut self.for_relays, placements);
         extend(&mut self.for_vms, placements);
     }
--- a/crates/gateway/src/sync/mod.rs
+++ b/crates/gateway/src/sync/mod.rs
@@ -62,6 +62,14 @@
     Peer { vm: VmId, at: Moment, max_age: Span },
 }
 
+/// A peer to query.
+struct Source {
+    vm: VmId,
+    address: SocketAddr,
+    /// Maximum age of its data. Older data is stale.
+    max_age: Span,
+}
+
 /// What this VM knows of the store.
 #[derive(Debug)]
 pub struct State {
@@ -184,7 +192,7 @@
             self.query = Query::Store;
             return out.call(Call::ReadCatalog { after }, "start");
         }
-        if let Some((vm, address, max_age)) = self.peer_to_ask(ctx, peers) {
+        if let Some(Source { vm, address, max_age }) = self.peer_to_ask(ctx, peers) {
             let request = Request { from: ctx.me.vm.clone(), sent_at: ctx.at, after: after.0 };
             self.query = Query::Peer { vm, at: ctx.at, max_age };
             return out.push(Effect::Send { address, datagram: Datagram::SyncRequest(request) });
@@ -197,13 +205,8 @@
     /// itself: it is a delegate, it must not wait for its peers any longer, or
     /// the delegates lack changes that it needs. For a while after its own read
     /// of the store has failed, it first queries any peer with recent data, and
-    /// the age of its own data does not make it query the store. The last value is
-    /// the maximum age of the peer's data.
-    fn peer_to_ask(
-        &self,
-        ctx: &Context<'_>,
-        peers: &peer::State,
-    ) -> Option<(VmId, SocketAddr, Span)> {
+    /// the age of its own data does not make it query the store.
+    fn peer_to_ask(&self, ctx: &Context<'_>, peers: &peer::State) -> Option<Source> {
         let max_age = self.pace.max_delegate_age();
         let ranking = peers.rank_data_centre(ctx);
         let failed = self.has_store_failed(ctx.at);
@@ -220,7 +223,7 @@
         if (failed || self.delegates_stale)
             && let Some((vm, address)) = peers.freshest(ctx.at, max_age)
         {
-            return Some((vm, address, max_age));
+            return Some(Source { vm, address, max_age });
         }
         if ranking.is_delegate() {
             return None;
@@ -229,16 +232,12 @@
         let is_usable =
             |vm: &&VmId| **vm != ctx.me.vm && Some(*vm) != self.failed_delegate.as_ref();
         let vm = sources.iter().chain(ranking.delegates()).find(is_usable)?;
-        Some((vm.clone(), peers.address(vm)?, max_age))
+        Some(Source { vm: vm.clone(), address: peers.address(vm)?, max_age })
     }
 
     /// Returns the reader that this delegate is to query, or `None` if it must
     /// query the store itself.
-    fn reader_to_ask(
-        &self,
-        ctx: &Context<'_>,
-        peers: &peer::State,
-    ) -> Option<(VmId, SocketAddr, Span)> {
+    fn reader_to_ask(&self, ctx: &Context<'_>, peers: &peer::State) -> Option<Source> {
         if !self.pace.has_readers {
             return None;
         }
@@ -251,10 +250,11 @@
             self.failed_readers.get(vm).is_some_and(|at| ctx.at.since(*at) < STORE_RETRY_DELAY)
         };
         let vm = readers.iter().find(|vm| !has_failed(vm))?;
-        Some((vm.clone(), peers.address(vm)?, self.pace.max_reader_age()))
+        let max_age = self.pace.max_reader_age();
+        Some(Source { vm: vm.clone(), address: peers.address(vm)?, max_age })
     }
 
-    /// Returns as what this VM reads changes from the store.
+    /// Returns as what this VM reads changes from the store, for the log.
     fn role(&self, ctx: &Context<'_>, peers: &peer::State) -> &'static str {
         if self.delegates_lack_changes {
             return "behind";
