Let readers read the store, delegates of their data centre or not

Rankings prefer wide links, relative to the widest of their VMs, so that a reader of the fleet need not be a delegate of its data centre. It then queried its delegates, which queried it.

Change: a VM that is a reader reads the store itself.

Test: with links that differ between data centres one of two VMs read the store (two_vms_read_the_store_for_all_data_centres failed), and a lost history made nine VMs read all rows. Both pass now.

--- a/crates/gateway/src/sync/mod.rs
+++ b/crates/gateway/src/sync/mod.rs
@@ -213,6 +213,11 @@
         if self.delegates_lack_changes || (!failed && self.must_query_store(ctx, &ranking)) {
             return None;
         }
+        // A reader need not be a delegate of its data centre, and must not query
+        // delegates that query it.
+        if !failed && self.is_reader(ctx, peers) {
+            return None;
+        }
         // If one reader has only stale data, the other may have read since.
         if ranking.is_delegate()
             && let Some(reader) = self.reader_to_ask(ctx, peers)
@@ -235,6 +240,12 @@
         Some(Source { vm: vm.clone(), address: peers.address(vm)?, max_age })
     }
 
+    /// Returns true if this VM reads the store for all data centres.
+    fn is_reader(&self, ctx: &Context<'_>, peers: &peer::State) -> bool {
+        let reachable = peers.rank_reachable(ctx);
+        self.pace.has_readers && reachable.all().iter().take(READERS).any(|vm| *vm == ctx.me.vm)
+    }
+
     /// Returns the reader that this delegate is to query, or `None` if it must
     /// query the store itself.
     fn reader_to_ask(&self, ctx: &Context<'_>, peers: &peer::State) -> Option<Source> {
@@ -259,9 +270,7 @@
         if self.delegates_lack_changes {
             return "behind";
         }
-        let reachable = peers.rank_reachable(ctx);
-        if self.pace.has_readers && reachable.all().iter().take(READERS).any(|vm| *vm == ctx.me.vm)
-        {
+        if self.is_reader(ctx, peers) {
             return "reader";
         }
         let ranking = peers.rank_data_centre(ctx);
--- a/crates/gateway/tests/all/fleet.rs
+++ b/crates/gateway/tests/all/fleet.rs
@@ -304,10 +304,18 @@
         start: StartNumber(1),
         data_centre: DATA_CENTRES[index % 5].parse().unwrap(),
         address: address(index),
-        link: MegabitsPerSecond(100),
+        link: link(index),
     }
 }
 
+/// The widest link of the first data centre is twice as wide as that of the others,
+/// so that the first VM of the fleet's ranking need not be the first of its data
+/// centre's.
+fn link(index: usize) -> MegabitsPerSecond {
+    let widest = if index % 5 == 0 { 200 } else { 100 };
+    MegabitsPerSecond(if index / 5 % 2 == 0 { widest } else { widest / 2 })
+}
+
 fn fleet_target(data_centre: &str, index: usize) -> (String, Value) {
     let id = format!("t-{data_centre}-{index}");
     let Value::Target(base) = target(&id, "desk") else { unreachable!() };
