--- a/crates/gateway/tests/all/fleet.rs
+++ b/crates/gateway/tests/all/fleet.rs
@@ -312,8 +312,8 @@
 /// so that the first VM of the fleet's ranking need not be the first of its data
 /// centre's.
 fn link(index: usize) -> MegabitsPerSecond {
-    let widest = if index % 5 == 0 { 200 } else { 100 };
-    MegabitsPerSecond(if index / 5 % 2 == 0 { widest } else { widest / 2 })
+    let widest = if index.is_multiple_of(5) { 200 } else { 100 };
+    MegabitsPerSecond(if (index / 5).is_multiple_of(2) { widest } else { widest / 2 })
 }
 
 fn fleet_target(data_centre: &str, index: usize) -> (String, Value) {
