--- a/tests/all/gateway.rs
+++ b/tests/all/gateway.rs
@@ -3,7 +3,6 @@
 use std::path::Path;
 use std::time::Duration;
 
-use briarshift_settings::Gateway;
 use briarshift_soak::caller::{self, Kind, Response};
 use briarshift_soak::plan::Plan;
 use briarshift_soak::world::World;
@@ -81,51 +80,3 @@
     assert!(world.reap().is_empty());
     assert!(is_served(&book(&world, 0, "b1").await));
 }
-
-/// Renders the settings template with values like those that the platform fills in.
-/// The bounds on changes are absent on some deployments.
-fn rendered_template(has_change_bounds: bool) -> String {
-    let mut template = include_str!("../../deploy/process.json").to_owned();
-    for name in ["bounds.config-deadline-ms", "bounds.drain-ms"] {
-        template = render_section(&template, name, has_change_bounds);
-    }
-    let values = [
-        ("{{node-name}}", "front-a-1"),
-        ("{{zone}}", "a"),
-        ("{{ip}}", "10.1.0.40"),
-        ("{{bind.front}}", "10.1.0.40:8227"),
-        ("{{bind.ready}}", "10.1.0.40:8220"),
-        ("{{port-range.0}}", "7340"),
-        ("{{platform.address}}", "10.200.1.7:8223"),
-        ("{{limits.link-mbps|json}}", "1000.0"),
-        ("{{bounds.revoke-ms|json}}", "5000"),
-        ("{{bounds.config-deadline-ms|json}}", "4000"),
-        ("{{bounds.drain-ms|json}}", "3000"),
-        ("{{bounds.grace-s|json}}", "8"),
-        ("{{bounds.retry-budget-ratio|json}}", "0.2"),
-        ("{{bounds.budget-extra|json}}", "52"),
-        ("{{bounds.budget-window-s|json}}", "10"),
-        ("{{bounds.cap-x|json}}", "2"),
-    ];
-    values.iter().fold(template, |text, (name, value)| text.replace(name, value))
-}
-
-/// Renders a section, which is left out if its value is absent.
-fn render_section(template: &str, name: &str, is_present: bool) -> String {
-    let (start, end) = (format!("{{{{#{name}}}}}"), format!("{{{{/{name}}}}}"));
-    let (before, rest) = template.split_once(&start).unwrap();
-    let (section, after) = rest.split_once(&end).unwrap();
-    format!("{before}{}{after}", if is_present { section } else { "" })
-}
-
-#[test]
-fn settings_template_renders_valid_settings() {
-    let text = rendered_template(true);
-    assert!(!text.contains("{{"), "{text}");
-    let settings = Gateway::parse(text.as_bytes()).unwrap();
-    assert_eq!((settings.bounds.config_ms, settings.bounds.leave_ms), (4_000, 3_000));
-    assert!(Gateway::parse(rendered_template(false).as_bytes()).is_ok());
-    assert_eq!(settings.vm.as_str(), "front-a-1");
-    assert_eq!(settings.store, "http://10.200.1.7:8223");
-    assert_eq!(settings.link_mbit_s, 1000.0);
-}
