Rank readers once a query; iterate over sums of data centres once

is_reader, reader_to_ask and role ranked all VMs each for itself, also where delegates read the store and no reader exists. No change of behaviour.

--- a/crates/gateway/src/peer/relay.rs
+++ b/crates/gateway/src/peer/relay.rs
@@ -192,15 +192,10 @@
         self.fleet = Some(Sum { received_at: now, loads });
     }
 
-    /// Returns the recent sum of another data centre.
-    pub(super) fn data_centre(&self, data_centre: &DataCentre, now: Moment) -> Option<&Loads> {
-        let sum = self.data_centres.get(data_centre).filter(|sum| sum.is_recent(now))?;
-        Some(&sum.loads)
-    }
-
-    /// Returns the data centres of which a recent sum is known.
-    pub(super) fn data_centres(&self, now: Moment) -> impl Iterator<Item = &DataCentre> {
-        self.data_centres.iter().filter(move |(_, sum)| sum.is_recent(now)).map(|(name, _)| name)
+    /// Returns the recent sums of other data centres.
+    pub(super) fn data_centres(&self, now: Moment) -> impl Iterator<Item = (&DataCentre, &Loads)> {
+        let recent = self.data_centres.iter().filter(move |(_, sum)| sum.is_recent(now));
+        recent.map(|(name, sum)| (name, &sum.loads))
     }
 
     /// Returns the recent sum of the loads of all other VMs.
--- a/crates/gateway/src/peer/report.rs
+++ b/crates/gateway/src/peer/report.rs
@@ -61,9 +61,10 @@
         let datagram = self.load_report(ctx, Scope::DataCentre, sum.to_vec(), for_relays);
         out.push(Effect::Broadcast { addresses, datagram });
 
-        let known: BTreeSet<_> = self.relay.data_centres(ctx.at).cloned().collect();
-        for loads in known.iter().filter_map(|name| self.relay.data_centre(name, ctx.at)) {
+        let mut known = BTreeSet::new();
+        for (name, loads) in self.relay.data_centres(ctx.at) {
             sum.add(&loads.to_vec());
+            known.insert(name.clone());
         }
         self.add_peer_loads(&mut sum, ctx.at, |peer| {
             !peer.is_in(own_data_centre) && !known.contains(&peer.member.data_centre)
--- a/crates/gateway/src/sync/mod.rs
+++ b/crates/gateway/src/sync/mod.rs
@@ -215,12 +215,13 @@
         }
         // A reader need not be a delegate of its data centre, and must not query
         // delegates that query it.
-        if !failed && self.is_reader(ctx, peers) {
+        let readers = self.readers(ctx, peers);
+        if !failed && readers.contains(&ctx.me.vm) {
             return None;
         }
         // If one reader has only stale data, the other may have read since.
         if ranking.is_delegate()
-            && let Some(reader) = self.reader_to_ask(ctx, peers)
+            && let Some(reader) = self.reader_to_ask(ctx, peers, &readers)
         {
             return Some(reader);
         }
@@ -240,20 +241,23 @@
         Some(Source { vm: vm.clone(), address: peers.address(vm)?, max_age })
     }
 
-    /// Returns true if this VM reads the store for all data centres.
-    fn is_reader(&self, ctx: &Context<'_>, peers: &peer::State) -> bool {
-        let reachable = peers.rank_reachable(ctx);
-        self.pace.has_readers && reachable.all().iter().take(READERS).any(|vm| *vm == ctx.me.vm)
+    /// Returns the VMs that read the store for all data centres that this VM
+    /// hears; none if delegates read it.
+    fn readers(&self, ctx: &Context<'_>, peers: &peer::State) -> Vec<VmId> {
+        if !self.pace.has_readers {
+            return Vec::new();
+        }
+        peers.rank_reachable(ctx).all().iter().take(READERS).cloned().collect()
     }
 
     /// Returns the reader that this delegate is to query, or `None` if it must
     /// query the store itself.
-    fn reader_to_ask(&self, ctx: &Context<'_>, peers: &peer::State) -> Option<Source> {
-        if !self.pace.has_readers {
-            return None;
-        }
-        let ranking = peers.rank_reachable(ctx);
-        let readers = &ranking.all()[..READERS.min(ranking.all().len())];
+    fn reader_to_ask(
+        &self,
+        ctx: &Context<'_>,
+        peers: &peer::State,
+        readers: &[VmId],
+    ) -> Option<Source> {
         if readers.contains(&ctx.me.vm) {
             return None;
         }
@@ -270,7 +274,7 @@
         if self.delegates_lack_changes {
             return "behind";
         }
-        if self.is_reader(ctx, peers) {
+        if self.readers(ctx, peers).contains(&ctx.me.vm) {
             return "reader";
         }
         let ranking = peers.rank_data_centre(ctx);
