--- a/crates/gateway/src/limit.rs
+++ b/crates/gateway/src/limit.rs
@@ -142,6 +142,8 @@
 /// A data centre may be cut off if this many heartbeats of it have not arrived,
 /// in a large fleet whose heartbeats are far apart.
 pub const MISSED_DATA_CENTRE_HEARTBEATS: u64 = 5;
+/// Maximum number of prompt parts in a log line.
+pub const MAX_LOGGED_PARTS: usize = 8;
 /// Maximum number of requests whose crashes are kept.
 pub const MAX_SUSPECT_REQUESTS: usize = 4096;
 /// Number of targets that must have crashed before a request is refused. Two
--- a/crates/gateway/src/request/record.rs
+++ b/crates/gateway/src/request/record.rs
@@ -7,6 +7,7 @@
 use super::view::Step;
 use super::{Arrival, End, Refusal, Send};
 use crate::Context;
+use crate::limit::MAX_LOGGED_PARTS;
 
 /// Returns the record of a refused request.
 pub(super) fn refused(step: &Step<'_, '_>, arrival: &Arrival, refusal: &Refusal) -> Record {
@@ -91,9 +92,18 @@
         End::NotRun { status, moved } => {
             line.with("end", "not_run").with("status", status).with("moved", moved)
         }
-        End::Interrupted { reason, relayed } => {
-            line.with("end", "broken").with("reason", reason).with("relayed", relayed)
-        }
+        End::Interrupted { reason, relayed } => line
+            .with("end", "broken")
+            .with("reason", reason)
+            .with("relayed", relayed)
+            .with("parts", part_ids(&pending.arrival)),
         End::AnswerTimeout => line.with("end", "silent"),
     }
 }
+
+/// Returns the ids of the first parts of a prompt, which tell what interrupted requests
+/// have in common.
+fn part_ids(arrival: &Arrival) -> String {
+    let ids = arrival.parts.iter().take(MAX_LOGGED_PARTS).map(|part| format!("{:x}", part.id));
+    ids.collect::<Vec<_>>().join(",")
+}
--- a/crates/gateway/tests/all/poison.rs
+++ b/crates/gateway/tests/all/poison.rs
@@ -7,7 +7,7 @@
 use briarshift_wire::datagram::Datagram;
 use briarshift_wire::heartbeat::{Crash, TargetHash};
 
-use crate::world::{World, expect_refusal, expect_send, heartbeat, interrupted, member};
+use crate::world::{World, expect_refusal, expect_send, heartbeat, interrupted, member, prompt};
 
 const POISON: Fingerprint = Fingerprint(0xbad);
 
@@ -63,3 +63,11 @@
     let decision = world.arrive_with("/book/a", |arrival| arrival.fingerprint = POISON);
     assert_eq!(expect_refusal(decision), Cause::Poison);
 }
+
+#[test]
+fn the_end_of_an_interrupted_request_names_its_parts() {
+    let mut world = World::new(&["t-1"]);
+    let send = expect_send(world.arrive_with("/chat/a", |arrival| arrival.parts = prompt(26, 27)));
+    world.end(&send, interrupted());
+    assert!(world.log.iter().any(|line| line.ends_with("parts=1a,1b,63")), "{:?}", world.log);
+}
