--- a/crates/gateway/tests/all/poison.rs
+++ b/crates/gateway/tests/all/poison.rs
@@ -1,7 +1,8 @@
 //! Requests that crash targets.
 
 use briarshift_gateway::Kind;
-use briarshift_gateway::request::{Cause, Decision};
+use briarshift_gateway::request::{Cause, Decision, End, Event};
+use briarshift_routing::selection::Part;
 use briarshift_store::registry::Name;
 use briarshift_units::Fingerprint;
 use briarshift_wire::datagram::Datagram;
@@ -71,3 +72,49 @@
     world.end(&send, interrupted());
     assert!(world.log.iter().any(|line| line.ends_with("parts=1a,1b,63")), "{:?}", world.log);
 }
+
+/// Shared parts of the prompts below; [`BAD_PART`] crashes each engine.
+const FIRST_PART: u64 = 1;
+const BAD_PART: u64 = 2;
+
+fn arrive_with_parts(world: &mut World, shared: &[u64], own: u64) -> Decision {
+    world.arrive_with("/chat/a", |arrival| {
+        let ids = shared.iter().copied().chain([own]);
+        arrival.parts = ids.map(|id| Part { id, tokens: 100 }).collect();
+    })
+}
+
+/// Sends a prompt whose last part is its own. Engines that run the bad part go down
+/// and come back after seconds; the others answer.
+fn run_prompt(world: &mut World, shared: &[u64], own: u64) -> Decision {
+    let decision = arrive_with_parts(world, shared, own);
+    let Decision::Send(send) = &decision else { return decision };
+    if !shared.contains(&BAD_PART) {
+        world.apply(Kind::Request(Event::AnswerBegan { id: send.id, report: None }));
+        world.end(send, End::Complete { ok: true });
+        return decision;
+    }
+    world.end(send, interrupted());
+    let (target, address) = (send.target.clone(), send.address);
+    world.apply(Kind::TargetChecked { target, address, listens: false });
+    world.advance(700);
+    world.reply_rows(crate::world::changes(), Ok(Vec::new()));
+    decision
+}
+
+#[test]
+fn a_part_that_crashed_engines_under_different_requests_is_refused() {
+    let engines: Vec<_> = (0..12).map(|number| format!("t-{number}")).collect();
+    let mut world = World::new(&engines.iter().map(String::as_str).collect::<Vec<_>>());
+    let mut crashes = 0;
+    for own in 100..130 {
+        match run_prompt(&mut world, &[FIRST_PART, BAD_PART], own) {
+            Decision::Send(_) => crashes += 1,
+            decision => assert_eq!(expect_refusal(decision), Cause::Poison),
+        }
+        // Sound prompts of the same caller with the same first part.
+        expect_send(run_prompt(&mut world, &[FIRST_PART, own + 1_000], own + 2_000));
+    }
+    // The operators' rule on parts counts from the fifth crash.
+    assert!(crashes <= 5, "{crashes} crashes");
+}
