Refuse prompts with a part that crashes the engines that answer them

Cause: a request that crashes targets was recognised by a fingerprint of its key, path and body. The other hypotheses are ruled out: each of the 17 crashes in the logs was recognised (target_down) and known to all VMs 0.1 s later (77 strikes on each of six VMs). One prefix is among the interrupted requests of all crashes but one, and never with an answer that had begun.

Change: routing::blame counts crashes by part. Only prompts whose answers had not begun are suspected, an answer that begins acquits, a crash has one cause, and engines that crash together blame nothing, so that sound prompts with the same first part go on. VMs report crashes and acquittals to each other at once, because heartbeats of a large fleet are seconds apart, and tell a VM that starts what is blocked.

--- a/crates/gateway/src/limit.rs
+++ b/crates/gateway/src/limit.rs
@@ -142,6 +142,15 @@
 /// A data centre may be cut off if this many heartbeats of it have not arrived,
 /// in a large fleet whose heartbeats are far apart.
 pub const MISSED_DATA_CENTRE_HEARTBEATS: u64 = 5;
+/// Minimum interval between two crash reports, in which news gathers.
+pub const CRASH_REPORT_INTERVAL: Span = Span::from_millis(50);
+/// Number of crash reports that repeat each item, in case a datagram is lost.
+pub const CRASH_REPORT_REPEATS: u8 = 3;
+/// Maximum number of items of each kind in a crash report, so that it fits in a
+/// datagram.
+pub const MAX_CRASH_REPORT_ITEMS: usize = 64;
+/// Maximum number of parts of a prompt that are suspected of a crash.
+pub const MAX_SUSPECT_PARTS: usize = 32;
 /// Maximum number of prompt parts in a log line.
 pub const MAX_LOGGED_PARTS: usize = 8;
 /// Maximum number of requests whose crashes are kept.
--- a/crates/gateway/src/peer/mod.rs
+++ b/crates/gateway/src/peer/mod.rs
@@ -250,7 +250,7 @@
             placements: outgoing.placements,
             crashes: outgoing.crashes,
         };
-        let addresses = self.peers.values().map(|peer| peer.member.address).collect();
+        let addresses = self.addresses();
         self.last_heartbeat = Some(heartbeat.clone());
         out.push(Effect::Broadcast { addresses, datagram: Datagram::Heartbeat(heartbeat) });
         self.mark_silent(ctx, Span(interval.0 * MAX_MISSED_HEARTBEATS), out);
@@ -288,6 +288,16 @@
         silent.map(|(data_centre, (at, _))| (data_centre.clone(), at)).collect()
     }
 
+    /// Returns the addresses of all peers.
+    pub fn addresses(&self) -> Vec<SocketAddr> {
+        self.peers.values().map(|peer| peer.member.address).collect()
+    }
+
+    /// Returns true if heartbeats of a peer arrive.
+    pub fn is_live(&self, vm: &VmId) -> bool {
+        self.peers.get(vm).is_some_and(|peer| peer.live)
+    }
+
     /// Returns the address of a peer.
     pub fn address(&self, vm: &VmId) -> Option<SocketAddr> {
         self.peers.get(vm).map(|peer| peer.member.address)
--- a/crates/gateway/src/poison.rs
+++ b/crates/gateway/src/poison.rs
@@ -1,40 +1,70 @@
-//! Requests that crash the targets that run them.
+//! Requests, and parts of prompts, that crash the targets that run them.
 //!
 //! A request is identified by a hash of its API key, path (with the query) and
 //! body. Each target that crashed while it ran the request counts once,
 //! whichever VM noticed it, because VMs exchange crashes in heartbeats. A
 //! request with enough crashes is refused by all VMs.
+//!
+//! Parts are found by [`briarshift_routing::blame`]. VMs exchange the crashes and
+//! answers that it judges by in reports of their own, at once.
 
 use std::collections::HashMap;
 
 use briarshift_logging::Record;
-use briarshift_units::{Fingerprint, Moment};
+use briarshift_routing::blame::Ledger;
+use briarshift_units::{Fingerprint, Moment, PartId};
+use briarshift_wire::crash::{PromptCrash, Report};
+use briarshift_wire::datagram::Datagram;
 use briarshift_wire::heartbeat::{Crash, TargetHash};
 
 use crate::limit::{
-    CRASH_SEND_TIME, CRASH_TTL, MAX_HEARTBEAT_CRASHES, MAX_SUSPECT_REQUESTS, POISON_CRASHES,
+    CRASH_REPORT_INTERVAL, CRASH_REPORT_REPEATS, CRASH_SEND_TIME, CRASH_TTL,
+    MAX_CRASH_REPORT_ITEMS, MAX_HEARTBEAT_CRASHES, MAX_SUSPECT_PARTS, MAX_SUSPECT_REQUESTS,
+    POISON_CRASHES,
 };
-use crate::{Context, Output};
+use crate::request::Arrival;
+use crate::target::CrashedRequest;
+use crate::{Context, Effect, Output, peer};
 
-/// Crashes by request, and those to send to peers.
+/// Crashes by request and by part, and those to send to peers.
 #[derive(Debug, Default)]
 pub struct State {
     crashes: HashMap<Fingerprint, Vec<(TargetHash, Moment)>>,
     outgoing: Vec<(Crash, Moment)>,
+    ledger: Ledger<TargetHash>,
+    /// News for the next reports, each with the number of reports still to contain it.
+    news: Vec<(News, u8)>,
+    reported_at: Moment,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq)]
+enum News {
+    Crash(PromptCrash),
+    Cleared(PartId),
 }
 
 impl State {
-    /// Returns true if a request has crashed too many targets.
-    pub fn is_poison(&self, request: Fingerprint) -> bool {
-        self.crashes.get(&request).is_some_and(|targets| POISON_CRASHES <= targets.len())
+    /// Returns true if a request has crashed too many targets, or if its prompt has a
+    /// part that has.
+    pub fn is_poison(&self, arrival: &Arrival, now: Moment) -> bool {
+        let crashes = self.crashes.get(&arrival.fingerprint);
+        crashes.is_some_and(|targets| POISON_CRASHES <= targets.len())
+            || self.ledger.blocked(&suspect_parts(arrival), now).is_some()
     }
 
     /// Records a target crash that this VM noticed, and reports it to the
     /// peers.
-    pub fn record_crash(&mut self, ctx: &Context<'_>, crash: Crash, out: &mut Output) {
+    pub fn record_crash(&mut self, ctx: &Context<'_>, crash: CrashedRequest, out: &mut Output) {
+        let CrashedRequest { request, parts, target } = crash;
+        let crash = Crash { request, target };
         if self.insert(ctx, crash, out) {
             self.outgoing.push((crash, ctx.at));
         }
+        if !parts.is_empty() {
+            let crash = PromptCrash { target, parts };
+            self.insert_prompt_crash(ctx, &crash, out);
+            self.add_news(News::Crash(crash));
+        }
     }
 
     /// Records a target crash that a peer reported.
@@ -42,17 +72,107 @@
         self.insert(ctx, crash, out);
     }
 
+    /// Records that the answer to a prompt has begun, which shows that its parts crash
+    /// no target.
+    pub fn record_answer(&mut self, arrival: &Arrival, out: &mut Output) {
+        for part in self.ledger.record_answer(&suspect_parts(arrival)) {
+            out.log(Record::new("part_cleared").with("part", part).with("by", &arrival.attempt));
+            self.add_news(News::Cleared(part));
+        }
+    }
+
     /// Returns the newest crashes for the next heartbeat.
     pub fn crashes_to_send(&self) -> Vec<Crash> {
         self.outgoing.iter().rev().take(MAX_HEARTBEAT_CRASHES).map(|(crash, _)| *crash).collect()
     }
 
-    /// Removes expired entries.
-    pub fn tick(&mut self, ctx: &Context<'_>) {
+    /// Applies a peer's report.
+    pub fn receive(&mut self, ctx: &Context<'_>, report: Report, out: &mut Output) {
+        for crash in &report.crashes {
+            self.insert_prompt_crash(ctx, crash, out);
+        }
+        for part in self.ledger.record_answer(&report.cleared) {
+            out.log(Record::new("part_cleared").with("part", part).with("by", &report.from));
+        }
+        for part in report.blocked {
+            self.block(ctx, part, report.from.as_str(), out);
+        }
+        for crash in report.requests {
+            self.insert(ctx, crash, out);
+        }
+    }
+
+    /// Blocks a part that `source` reports as blocked.
+    pub fn block(&mut self, ctx: &Context<'_>, part: PartId, source: &str, out: &mut Output) {
+        if self.ledger.blocked(&[part], ctx.at).is_none() {
+            self.ledger.block(part, ctx.at);
+            out.log(Record::new("part_blocked").with("part", part).with("by", source));
+        }
+    }
+
+    /// Returns the blocked parts, up to the maximum of a report.
+    pub fn blocked_parts(&self, now: Moment) -> Vec<PartId> {
+        self.ledger.all_blocked(now).into_iter().take(MAX_CRASH_REPORT_ITEMS).collect()
+    }
+
+    /// Returns all that this VM refuses, for a VM that has just started, if there is
+    /// anything.
+    pub fn summary(&self, ctx: &Context<'_>) -> Option<Datagram> {
+        let poison = self.crashes.iter().filter(|(_, it)| POISON_CRASHES <= it.len());
+        let crashes = poison.flat_map(|(&request, targets)| {
+            targets.iter().map(move |&(target, _)| Crash { request, target })
+        });
+        let requests: Vec<_> = crashes.take(MAX_CRASH_REPORT_ITEMS).collect();
+        let blocked = self.blocked_parts(ctx.at);
+        if requests.is_empty() && blocked.is_empty() {
+            return None;
+        }
+        let (crashes, cleared) = (Vec::new(), Vec::new());
+        let from = ctx.me.vm.clone();
+        Some(Datagram::CrashReport(Report { from, crashes, cleared, blocked, requests }))
+    }
+
+    /// Removes expired entries, and sends news to the peers.
+    pub fn tick(&mut self, ctx: &Context<'_>, peers: &peer::State, out: &mut Output) {
         self.outgoing.retain(|(_, at)| ctx.at.since(*at) < CRASH_SEND_TIME);
         self.crashes.retain(|_, targets| {
             targets.last().is_some_and(|(_, at)| ctx.at.since(*at) < CRASH_TTL)
         });
+        self.ledger.prune(ctx.at);
+        if !self.news.is_empty() && CRASH_REPORT_INTERVAL <= ctx.at.since(self.reported_at) {
+            self.reported_at = ctx.at;
+            let datagram = Datagram::CrashReport(self.take_report(ctx));
+            out.push(Effect::Broadcast { addresses: peers.addresses(), datagram });
+        }
+    }
+
+    fn take_report(&mut self, ctx: &Context<'_>) -> Report {
+        let (mut crashes, mut cleared) = (Vec::new(), Vec::new());
+        for (news, repeats) in self.news.iter_mut().take(MAX_CRASH_REPORT_ITEMS) {
+            *repeats -= 1;
+            match news {
+                News::Crash(crash) => crashes.push(crash.clone()),
+                News::Cleared(part) => cleared.push(*part),
+            }
+        }
+        self.news.retain(|(_, repeats)| 0 < *repeats);
+        let (blocked, requests) = (Vec::new(), Vec::new());
+        Report { from: ctx.me.vm.clone(), crashes, cleared, blocked, requests }
+    }
+
+    fn add_news(&mut self, news: News) {
+        if !self.news.iter().any(|(known, _)| *known == news) {
+            self.news.push((news, CRASH_REPORT_REPEATS));
+        }
+    }
+
+    fn insert_prompt_crash(&mut self, ctx: &Context<'_>, crash: &PromptCrash, out: &mut Output) {
+        let Some(part) = self.ledger.record_crash(&crash.parts, crash.target, ctx.at) else {
+            return;
+        };
+        let crashes = self.ledger.crashes(part);
+        let line = Record::new("part_blocked").with("part", part).with("by", &ctx.me.vm);
+        out.log(line.with("crashes", crashes));
     }
 
     fn insert(&mut self, ctx: &Context<'_>, crash: Crash, out: &mut Output) -> bool {
@@ -71,3 +191,10 @@
         true
     }
 }
+
+/// Returns the parts of a prompt that may crash targets under other requests too: all
+/// but the last, which belongs to the request itself.
+pub fn suspect_parts(arrival: &Arrival) -> Vec<PartId> {
+    let shared = &arrival.parts[..arrival.parts.len().saturating_sub(1)];
+    shared.iter().take(MAX_SUSPECT_PARTS).map(|part| PartId(part.id)).collect()
+}
--- a/crates/gateway/src/request/admit.rs
+++ b/crates/gateway/src/request/admit.rs
@@ -31,7 +31,7 @@
     if is_refused(step.view.leaving, &route) {
         return Err(Cause::Leaving);
     }
-    if step.view.poison.is_poison(arrival.fingerprint) {
+    if step.view.poison.is_poison(arrival, step.ctx.at) {
         return Err(Cause::Poison);
     }
     let pool = pool(&route, arrival).ok_or(Cause::NoTarget)?;
--- a/crates/gateway/src/request/pending.rs
+++ b/crates/gateway/src/request/pending.rs
@@ -9,6 +9,8 @@
 
 use super::{Arrival, End, SendId};
 use crate::limit::MIN_ATTEMPT_TIME;
+use crate::poison::suspect_parts;
+use crate::target::Interruption;
 
 /// The current send of a request.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -57,6 +59,14 @@
         self.may_have_run |= matches!(end, End::Interrupted { .. } | End::AnswerTimeout);
     }
 
+    /// Returns what to suspect if the target turns out to have crashed. Only a prompt
+    /// whose answer has not begun may have crashed it.
+    pub fn interruption(&self, active: &ActiveSend, at: Moment) -> Interruption {
+        let is_suspect = self.route.kind.is_stream() && !active.answer_began;
+        let parts = if is_suspect { suspect_parts(&self.arrival) } else { Vec::new() };
+        Interruption { request: self.arrival.fingerprint, parts, at }
+    }
+
     /// Returns true if another target may receive the request: the route allows
     /// a further attempt, and there is enough time.
     pub fn may_attempt(&self, now: Moment) -> bool {
--- a/crates/gateway/src/request/state.rs
+++ b/crates/gateway/src/request/state.rs
@@ -96,8 +96,10 @@
     }
 
     fn handle_answer_began(&mut self, step: &mut Step<'_, '_>, id: SendId, report: Option<Report>) {
-        let Some(active) = self.active_send(id) else { return };
+        let Some(pending) = self.pending.get_mut(&id.request) else { return };
+        let Some(active) = pending.active_send.as_mut().filter(|it| it.id == id) else { return };
         active.answer_began = true;
+        step.view.poison.record_answer(&pending.arrival, step.out);
         let backlog = std::mem::take(&mut active.backlog);
         let (targets, at) = (&mut *step.view.targets, step.ctx.at);
         targets.remove_backlog(&active.target, backlog);
@@ -164,7 +166,7 @@
     /// retry out of the budget in that case.
     fn take_retry(&mut self, step: &Step<'_, '_>, request: RequestId) -> bool {
         let Some(pending) = self.pending.get(&request) else { return false };
-        let is_poison = step.view.poison.is_poison(pending.arrival.fingerprint);
+        let is_poison = step.view.poison.is_poison(&pending.arrival, step.ctx.at);
         if !pending.may_attempt(step.ctx.at) || is_poison {
             return false;
         }
@@ -247,7 +249,7 @@
             }
         }
         End::Interrupted { .. } => {
-            targets.record_interruption(target, pending.arrival.fingerprint, at);
+            targets.record_interruption(target, pending.interruption(active, at));
             if let Some(entry) = targets.get(target) {
                 let (target, address) = (target.clone(), entry.target.address);
                 step.out.push(Effect::CheckTarget { target, address });
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -6,7 +6,7 @@
 use briarshift_logging::Record;
 use briarshift_store::Error;
 use briarshift_store::registry::{Call, Reply, Value};
-use briarshift_units::{Moment, TargetId};
+use briarshift_units::{Moment, TargetId, VmId};
 use briarshift_wire::datagram::Datagram;
 use briarshift_wire::heartbeat::Heartbeat;
 use briarshift_wire::holding::Holdings;
@@ -106,7 +106,7 @@
     fn handle_tick(&mut self, ctx: &Context<'_>, out: &mut Output) {
         self.sync.tick(ctx, &self.peers, out);
         self.targets.tick(ctx, out);
-        self.poison.tick(ctx);
+        self.poison.tick(ctx, &self.peers, out);
         self.cache.tick(ctx.at);
         self.write_holdings(ctx, out);
         if self.peers.is_report_due(ctx.at) {
@@ -202,6 +202,11 @@
                 let placements = self.peers.receive_report(ctx, report);
                 self.cache.record_placements(&placements, placements.len() as u64, ctx.at);
             }
+            Datagram::CrashReport(report) => {
+                if self.peers.address(&report.from).is_some() {
+                    self.poison.receive(ctx, report, out);
+                }
+            }
             Datagram::SyncRequest(request) => {
                 if let Some(address) = self.peers.address(&request.from) {
                     self.sync.handle_request(ctx, &request, address, out);
@@ -225,7 +230,12 @@
     }
 
     fn handle_heartbeat(&mut self, ctx: &Context<'_>, heartbeat: Heartbeat, out: &mut Output) {
+        let from = heartbeat.from.clone();
+        let was_live = self.peers.is_live(&from);
         let Some(incoming) = self.peers.receive(ctx, heartbeat, out) else { return };
+        if !was_live {
+            self.send_poison_summary(ctx, &from, out);
+        }
         self.cache.record_placements(&incoming.placements, incoming.new_prompts, ctx.at);
         self.targets.apply_peer_failures(&incoming.failures, ctx.at);
         for crash in incoming.crashes {
@@ -233,6 +243,15 @@
         }
     }
 
+    /// Tells a VM that has just started what to refuse.
+    fn send_poison_summary(&mut self, ctx: &Context<'_>, vm: &VmId, out: &mut Output) {
+        if let Some(address) = self.peers.address(vm)
+            && let Some(datagram) = self.poison.summary(ctx)
+        {
+            out.push(Effect::Send { address, datagram });
+        }
+    }
+
     fn handle_settings(&mut self, ctx: &Context<'_>, bounds: Bounds, out: &mut Output) {
         if ctx.me.bounds == bounds {
             return;
--- a/crates/gateway/src/target/mod.rs
+++ b/crates/gateway/src/target/mod.rs
@@ -14,8 +14,8 @@
 use briarshift_routing::selection::Candidate;
 use briarshift_store::Version;
 use briarshift_store::registry::{Name, Row, Status, Target, Value};
-use briarshift_units::{DataCentre, Fingerprint, Moment, PoolId, TargetId};
-use briarshift_wire::heartbeat::{Crash, Failure, Load, TargetHash};
+use briarshift_units::{DataCentre, Fingerprint, Moment, PartId, PoolId, TargetId};
+use briarshift_wire::heartbeat::{Failure, Load, TargetHash};
 
 use crate::limit::{
     CRASH_SUSPICION_TIME, MAX_REPORT_AGE, MOVED_TARGET_PAUSE, UNCONFIRMED_TARGET_TTL,
@@ -35,6 +35,28 @@
     pub slots: u32,
 }
 
+/// A request that was interrupted at a target.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Interruption {
+    /// The request.
+    pub request: Fingerprint,
+    /// Shared parts of its prompt, if its answer had not begun.
+    pub parts: Vec<PartId>,
+    /// When it was interrupted.
+    pub at: Moment,
+}
+
+/// A request that ran on a target when the target went down.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct CrashedRequest {
+    /// The request.
+    pub request: Fingerprint,
+    /// Shared parts of its prompt, if its answer had not begun.
+    pub parts: Vec<PartId>,
+    /// The target.
+    pub target: TargetHash,
+}
+
 /// A target as known to this VM.
 #[derive(Debug, Clone)]
 pub struct Entry {
@@ -54,8 +76,8 @@
     ended_at: Option<Moment>,
     /// When another target last answered at its address.
     moved_at: Option<Moment>,
-    /// Requests that were recently interrupted here, and when.
-    interrupted: Vec<(Fingerprint, Moment)>,
+    /// Requests that were recently interrupted here.
+    interrupted: Vec<Interruption>,
     /// Failures since the last heartbeat.
     failures: u8,
 }
@@ -106,11 +128,13 @@
 
     /// Removes the interrupted requests and returns a crash for each recent
     /// one.
-    fn take_crashes(&mut self, now: Moment) -> Vec<Crash> {
+    fn take_crashes(&mut self, now: Moment) -> Vec<CrashedRequest> {
         let target = self.hash;
         let interrupted = std::mem::take(&mut self.interrupted).into_iter();
-        let recent = interrupted.filter(|(_, at)| now.since(*at) < CRASH_SUSPICION_TIME);
-        recent.map(|(request, _)| Crash { request, target }).collect()
+        let recent = interrupted.filter(|it| now.since(it.at) < CRASH_SUSPICION_TIME);
+        recent
+            .map(|Interruption { request, parts, .. }| CrashedRequest { request, parts, target })
+            .collect()
     }
 }
 
@@ -160,7 +184,7 @@
         update: &Update,
         store_failing: bool,
         out: &mut Output,
-    ) -> Vec<Crash> {
+    ) -> Vec<CrashedRequest> {
         let mut crashes = Vec::new();
         if update.snapshot {
             let is_listed =
@@ -195,7 +219,7 @@
         target: &Target,
         row: &Row,
         out: &mut Output,
-        crashes: &mut Vec<Crash>,
+        crashes: &mut Vec<CrashedRequest>,
     ) {
         let Some(entry) = self.entries.get_mut(id) else {
             out.log(registration_record(id, target, row.version));
@@ -234,7 +258,7 @@
         id: &TargetId,
         store_failing: bool,
         out: &mut Output,
-        crashes: &mut Vec<Crash>,
+        crashes: &mut Vec<CrashedRequest>,
     ) {
         let Some(entry) = self.entries.get_mut(id) else { return };
         if store_failing {
@@ -365,7 +389,7 @@
     /// Records that a target could not be reached or did not answer in time.
     /// Returns a crash for each request that was interrupted there shortly
     /// before.
-    pub fn record_unreachable(&mut self, id: &TargetId, now: Moment) -> Vec<Crash> {
+    pub fn record_unreachable(&mut self, id: &TargetId, now: Moment) -> Vec<CrashedRequest> {
         let Some(entry) = self.entries.get_mut(id) else { return Vec::new() };
         entry.health.record_unreachable(now);
         entry.failures = entry.failures.saturating_add(1);
@@ -375,10 +399,11 @@
 
     /// Records that a request was interrupted at a target. It counts as a crash
     /// if the target turns out to be down.
-    pub fn record_interruption(&mut self, id: &TargetId, request: Fingerprint, now: Moment) {
+    pub fn record_interruption(&mut self, id: &TargetId, interruption: Interruption) {
         if let Some(entry) = self.entries.get_mut(id) {
-            entry.interrupted.retain(|(_, at)| now.since(*at) < CRASH_SUSPICION_TIME);
-            entry.interrupted.push((request, now));
+            let now = interruption.at;
+            entry.interrupted.retain(|it| now.since(it.at) < CRASH_SUSPICION_TIME);
+            entry.interrupted.push(interruption);
             entry.failures = entry.failures.saturating_add(1);
             entry.health.record_answer(false, now);
         }
--- a/crates/gateway/tests/all/poison.rs
+++ b/crates/gateway/tests/all/poison.rs
@@ -1,14 +1,17 @@
 //! Requests that crash targets.
 
 use briarshift_gateway::Kind;
-use briarshift_gateway::request::{Cause, Decision, End, Event};
+use briarshift_gateway::request::{Arrival, Cause, Decision, End, Event};
 use briarshift_routing::selection::Part;
 use briarshift_store::registry::Name;
-use briarshift_units::Fingerprint;
+use briarshift_units::{Fingerprint, PartId};
+use briarshift_wire::crash::{PromptCrash, Report};
 use briarshift_wire::datagram::Datagram;
 use briarshift_wire::heartbeat::{Crash, TargetHash};
 
-use crate::world::{World, expect_refusal, expect_send, heartbeat, interrupted, member, prompt};
+use crate::world::{
+    World, expect_refusal, expect_send, heartbeat, interrupted, member, prompt, target,
+};
 
 const POISON: Fingerprint = Fingerprint(0xbad);
 
@@ -84,8 +87,8 @@
     })
 }
 
-/// Sends a prompt whose last part is its own. Engines that run the bad part go down
-/// and come back after seconds; the others answer.
+/// Sends a prompt whose last part is its own. Engines that run the bad part go down,
+/// and another one is started in their place; the others answer.
 fn run_prompt(world: &mut World, shared: &[u64], own: u64) -> Decision {
     let decision = arrive_with_parts(world, shared, own);
     let Decision::Send(send) = &decision else { return decision };
@@ -95,10 +98,13 @@
         return decision;
     }
     world.end(send, interrupted());
-    let (target, address) = (send.target.clone(), send.address);
-    world.apply(Kind::TargetChecked { target, address, listens: false });
+    let (id, address) = (send.target.clone(), send.address);
+    world.apply(Kind::TargetChecked { target: id.clone(), address, listens: false });
     world.advance(700);
-    world.reply_rows(crate::world::changes(), Ok(Vec::new()));
+    world.change_row(Name::Target(id), None);
+    let replacement = format!("t-{own}");
+    let row = target(&replacement, "desk");
+    world.change_row(Name::Target(replacement.parse().unwrap()), Some(row));
     decision
 }
 
@@ -118,3 +124,88 @@
     // The operators' rule on parts counts from the fifth crash.
     assert!(crashes <= 5, "{crashes} crashes");
 }
+
+/// A peer's report of crashes of engines by one prompt.
+fn crash_report(crashes: Vec<PromptCrash>, cleared: Vec<PartId>) -> Kind {
+    let (from, blocked, requests) = ("vm-2".parse().unwrap(), Vec::new(), Vec::new());
+    Kind::Datagram(Datagram::CrashReport(Report { from, crashes, cleared, blocked, requests }))
+}
+
+/// Creates a VM that knows a peer, and lets that report three crashes.
+fn world_with_blocked_part() -> World {
+    let mut world = World::new(&["t-1", "t-2"]);
+    world.change_row(Name::Member("vm-2".parse().unwrap()), Some(member("vm-2")));
+    for engine in 0..3 {
+        let parts = vec![PartId(FIRST_PART), PartId(BAD_PART)];
+        let crash = PromptCrash { target: TargetHash(engine), parts };
+        world.apply(crash_report(vec![crash], vec![PartId(FIRST_PART)]));
+        world.advance(700);
+        world.reply_rows(crate::world::changes(), Ok(Vec::new()));
+    }
+    world
+}
+
+#[test]
+fn parts_that_crashed_engines_of_peers_are_refused_until_an_answer_begins_there() {
+    let mut world = world_with_blocked_part();
+    let refused = arrive_with_parts(&mut world, &[FIRST_PART, BAD_PART], 100);
+    assert_eq!(expect_refusal(refused), Cause::Poison);
+    expect_send(arrive_with_parts(&mut world, &[FIRST_PART, 7], 101));
+    world.apply(crash_report(Vec::new(), vec![PartId(BAD_PART)]));
+    expect_send(arrive_with_parts(&mut world, &[FIRST_PART, BAD_PART], 102));
+}
+
+#[test]
+fn a_vm_that_starts_is_told_which_parts_are_refused() {
+    let mut world = world_with_blocked_part();
+    world.apply(heartbeat("vm-2", 1));
+    let told = world.datagrams.iter().any(|datagram| {
+        matches!(datagram, Datagram::CrashReport(it) if it.blocked == [PartId(BAD_PART)])
+    });
+    assert!(told, "{:?}", world.datagrams);
+
+    let mut started = World::new(&["t-1"]);
+    started.change_row(Name::Member("vm-2".parse().unwrap()), Some(member("vm-2")));
+    let Some(Datagram::CrashReport(report)) = world.datagrams.pop() else { unreachable!() };
+    started.apply(Kind::Datagram(Datagram::CrashReport(Report {
+        from: "vm-2".parse().unwrap(),
+        ..report
+    })));
+    let refused = arrive_with_parts(&mut started, &[BAD_PART], 100);
+    assert_eq!(expect_refusal(refused), Cause::Poison);
+}
+
+#[test]
+fn crashes_and_answers_are_reported_to_peers_several_times() {
+    let mut world = World::new(&["t-1", "t-2", "t-3"]);
+    world.change_row(Name::Member("vm-2".parse().unwrap()), Some(member("vm-2")));
+    run_prompt(&mut world, &[FIRST_PART, BAD_PART], 100);
+    run_prompt(&mut world, &[FIRST_PART], 101);
+    for _ in 0..20 {
+        world.advance(100);
+        world.tick();
+    }
+    let report = |datagram: &Datagram| match datagram {
+        Datagram::CrashReport(report) => Some(report.clone()),
+        _ => None,
+    };
+    let reports: Vec<_> = world.datagrams.iter().filter_map(report).collect();
+    assert_eq!(reports.len(), 3);
+    for report in reports {
+        assert_eq!(report.crashes[0].parts, [PartId(FIRST_PART), PartId(BAD_PART)]);
+        assert_eq!(report.cleared, [PartId(FIRST_PART)]);
+    }
+}
+
+#[test]
+fn a_resumable_stream_with_a_refused_part_is_not_repeated() {
+    let mut world = world_with_blocked_part();
+    let parts = |arrival: &mut Arrival| arrival.parts = prompt(FIRST_PART, 40);
+    let send = expect_send(world.arrive_with("/long/a", parts));
+    for engine in 10..13 {
+        world.advance(500);
+        let crash = PromptCrash { target: TargetHash(engine), parts: vec![PartId(40)] };
+        world.apply(crash_report(vec![crash], Vec::new()));
+    }
+    assert_eq!(expect_refusal(world.end(&send, interrupted()).unwrap()), Cause::Unknown);
+}
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -6,6 +6,7 @@
 //! same functions.
 
 pub mod admission;
+pub mod blame;
 pub mod bound;
 pub mod bucket;
 pub mod cache;
--- a/crates/routing/tests/all/main.rs
+++ b/crates/routing/tests/all/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the routing decisions.
 
 mod admission;
+mod blame;
 mod bucket;
 mod cache;
 mod queue;
--- a/crates/units/src/number.rs
+++ b/crates/units/src/number.rs
@@ -149,6 +149,10 @@
     /// request that crashes targets is recognized when it is sent again.
     Fingerprint
 }
+hexadecimal! {
+    /// Identifies a part of a prompt by its content.
+    PartId
+}
 
 /// The SHA-256 digest of a document.
 ///
--- a/crates/wire/src/datagram.rs
+++ b/crates/wire/src/datagram.rs
@@ -2,6 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::crash;
 use crate::heartbeat::Heartbeat;
 use crate::load::Report;
 use crate::sync::{Request, Response};
@@ -22,6 +23,8 @@
     /// Loads at targets, between a VM and the relay of its data centre, or
     /// between relays.
     LoadReport(Report),
+    /// News of crashes, sent to all peers as they are seen.
+    CrashReport(crash::Report),
 }
 
 impl Datagram {
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -11,6 +11,7 @@
 mod message;
 mod versioned;
 
+pub mod crash;
 pub mod heartbeat;
 pub mod datagram;
 pub mod document;
