Read and log the limits on requests that targets name

Operators announce answers with Server-Limit: the requests a second that a target takes from all VMs together. Nothing read it, so logs could not tell whether a VM knew of a limit when it sent. VMs now decode it and log each change (event=target_limit). Only a success without the header ends a limit. What an answer of another target at the address (421) says is no longer taken for the expected target's report.

No decision changes here. Tests: limit::a_limit_that_a_target_names_is_logged_when_it_changes, headers::a_limit_that_a_target_names_is_decoded.

--- a/crates/daemon/src/gateway/task.rs
+++ b/crates/daemon/src/gateway/task.rs
@@ -16,7 +16,7 @@
 };
 use briarshift_gateway::Kind;
 use briarshift_gateway::request::{Arrival, Decision, End, Event, Refusal, Send, SendId};
-use briarshift_gateway::target::Report;
+use briarshift_gateway::target::{Load, Report};
 use briarshift_units::{Moment, RequestId};
 use http::{HeaderMap, Method, StatusCode};
 use smol_str::SmolStr;
@@ -254,11 +254,9 @@
         };
         let answer = sent.map_err(|failure| failed_attempt(failure, false))?;
         let response_headers = self.header_codec.decode_response(&answer.headers);
-        let report = response_headers.load.map(|(running, waiting, slots)| Report {
-            running,
-            waiting,
-            slots,
-        });
+        // Another target at the address reports about itself.
+        let is_moved = answer.status == StatusCode::MISDIRECTED_REQUEST;
+        let report = (!is_moved).then(|| report(&response_headers));
         let read = self.read_answer(job, send, answer, &response_headers).await;
         match read {
             Ok(mut answered) => {
@@ -340,6 +338,11 @@
     }
 }
 
+fn report(headers: &ResponseHeaders) -> Report {
+    let load = headers.load.map(|(running, waiting, slots)| Load { running, waiting, slots });
+    Report { load, limit: headers.limit }
+}
+
 /// Reads the first complete events of a stream.
 async fn first_events(body: &mut Body, splitter: &mut Splitter) -> Result<Bytes, End> {
     loop {
--- a/crates/forward/src/header.rs
+++ b/crates/forward/src/header.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use briarshift_units::{AccountId, AttemptId, Span, TargetId};
+use briarshift_units::{AccountId, AttemptId, RequestRate, Span, TargetId};
 use http::HeaderMap;
 use smol_str::SmolStr;
 
@@ -61,6 +61,8 @@
     /// Load of the target: its running requests, its waiting requests and its
     /// slots.
     pub load: Option<(u32, u32, u32)>,
+    /// Requests that the target accepts from all VMs together, if it names a limit.
+    pub limit: Option<RequestRate>,
 }
 
 /// Reads and writes headers by a platform's header names.
--- a/crates/gateway/src/request/event.rs
+++ b/crates/gateway/src/request/event.rs
@@ -135,7 +135,7 @@
     AnswerBegan {
         /// The send.
         id: SendId,
-        /// The target's load, if the answer reported it.
+        /// What the answer reported about the target.
         report: Option<Report>,
     },
     /// A send has ended.
@@ -144,7 +144,7 @@
         id: SendId,
         /// How it ended.
         end: End,
-        /// The target's load, if the answer reported it.
+        /// What the answer reported about the target, if there was one.
         report: Option<Report>,
     },
     /// The caller left.
--- a/crates/gateway/src/request/state.rs
+++ b/crates/gateway/src/request/state.rs
@@ -105,7 +105,7 @@
         targets.remove_backlog(&active.target, backlog);
         targets.record_answer(&active.target, true, at);
         if let Some(report) = report {
-            targets.set_report(&active.target, report, at);
+            targets.set_report(step.ctx, &active.target, report, true, step.out);
         }
     }
 
@@ -124,7 +124,8 @@
         let Some(active) = pending.active_send.take() else { return };
         step.view.targets.remove_request(&active.target, active.backlog);
         if let Some(report) = report {
-            step.view.targets.set_report(&active.target, report, step.ctx.at);
+            let ok = matches!(end, End::Complete { ok: true });
+            step.view.targets.set_report(step.ctx, &active.target, report, ok, step.out);
         }
         record_end(step, pending, &active, end);
         pending.record_end(&active, end);
--- a/crates/gateway/src/target/mod.rs
+++ b/crates/gateway/src/target/mod.rs
@@ -14,8 +14,8 @@
 use briarshift_routing::selection::Candidate;
 use briarshift_store::Version;
 use briarshift_store::registry::{Name, Row, Status, Target, Value};
-use briarshift_units::{DataCentre, Fingerprint, Moment, PartId, PoolId, TargetId};
-use briarshift_wire::heartbeat::{Failure, Load, TargetHash};
+use briarshift_units::{DataCentre, Fingerprint, Moment, PartId, PoolId, RequestRate, TargetId};
+use briarshift_wire::heartbeat::{self, Failure, TargetHash};
 
 use crate::limit::{
     CRASH_SUSPICION_TIME, MAX_REPORT_AGE, MOVED_TARGET_PAUSE, UNCONFIRMED_TARGET_TTL,
@@ -24,9 +24,18 @@
 use crate::sync::Update;
 use crate::{Context, Effect, Output};
 
-/// The load that a target reports in an answer.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+/// What a target reports about itself in an answer.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Report {
+    /// Its load, if the answer states it.
+    pub load: Option<Load>,
+    /// Requests that it accepts from all VMs together, if it names a limit.
+    pub limit: Option<RequestRate>,
+}
+
+/// The load that a target reports.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Load {
     /// Requests that are running.
     pub running: u32,
     /// Requests that are waiting.
@@ -71,7 +80,9 @@
     /// Health, judged by the target's answers.
     pub health: Health,
     version: Version,
-    report: Option<(Report, Moment)>,
+    reported_load: Option<(Load, Moment)>,
+    /// Requests that it accepts from all VMs together, as its last answer said.
+    limit: Option<RequestRate>,
     /// When its registration ended, if that was while the store was failing.
     ended_at: Option<Moment>,
     /// When another target last answered at its address.
@@ -91,7 +102,8 @@
             backlog: 0,
             health: Health::default(),
             version,
-            report: None,
+            reported_load: None,
+            limit: None,
             ended_at: None,
             moved_at: None,
             interrupted: Vec::new(),
@@ -99,10 +111,10 @@
         }
     }
 
-    /// Returns the target's last load report if it is recent.
-    pub fn report(&self, now: Moment) -> Option<Report> {
-        let recent = self.report.filter(|(_, at)| now.since(*at) < MAX_REPORT_AGE);
-        recent.map(|(report, _)| report)
+    /// Returns the load that the target last reported, if that is recent.
+    pub fn reported_load(&self, now: Moment) -> Option<Load> {
+        let recent = self.reported_load.filter(|(_, at)| now.since(*at) < MAX_REPORT_AGE);
+        recent.map(|(load, _)| load)
     }
 
     /// Returns the number of requests at the target from all VMs, and the
@@ -114,7 +126,8 @@
         if query.all_peers_live {
             return (counted, backlog);
         }
-        let reported = self.report(query.now).map_or(0, |report| report.running + report.waiting);
+        let reported = self.reported_load(query.now);
+        let reported = reported.map_or(0, |load| load.running.saturating_add(load.waiting));
         (counted.max(reported), backlog)
     }
 
@@ -371,10 +384,27 @@
         }
     }
 
-    /// Stores the load that a target reported.
-    pub fn set_report(&mut self, id: &TargetId, report: Report, now: Moment) {
-        if let Some(entry) = self.entries.get_mut(id) {
-            entry.report = Some((report, now));
+    /// Stores what a target reported. Only a success (`ok`) shows that a limit no longer
+    /// applies; other answers may come from a part of the target that does not name it.
+    pub fn set_report(
+        &mut self,
+        ctx: &Context<'_>,
+        id: &TargetId,
+        report: Report,
+        ok: bool,
+        out: &mut Output,
+    ) {
+        let Some(entry) = self.entries.get_mut(id) else { return };
+        if let Some(load) = report.load {
+            entry.reported_load = Some((load, ctx.at));
+        }
+        if entry.limit != report.limit && (ok || report.limit.is_some()) {
+            entry.limit = report.limit;
+            let line = Record::new("target_limit").with("target", id);
+            out.log(match report.limit {
+                Some(limit) => line.with("limit", limit),
+                None => line.with("limit", "none"),
+            });
         }
     }
 
@@ -444,9 +474,9 @@
 
     /// Returns this VM's load at each target that has requests of this VM, for
     /// its heartbeat.
-    pub fn loads(&self) -> Vec<Load> {
+    pub fn loads(&self) -> Vec<heartbeat::Load> {
         let busy = self.entries.values().filter(|entry| 0 < entry.requests);
-        busy.map(|entry| Load {
+        busy.map(|entry| heartbeat::Load {
             target: entry.hash,
             requests: entry.requests,
             backlog: entry.backlog,
--- a/crates/gateway/tests/all/main.rs
+++ b/crates/gateway/tests/all/main.rs
@@ -3,6 +3,7 @@
 mod delegate;
 mod drain;
 mod fleet;
+mod limit;
 mod load;
 mod poison;
 mod prompt;
--- a/crates/model/src/target.rs
+++ b/crates/model/src/target.rs
@@ -2,7 +2,7 @@
 
 use std::net::{Ipv4Addr, SocketAddr};
 
-use briarshift_gateway::target::Report;
+use briarshift_gateway::target::{Load, Report};
 use briarshift_store::registry::{Status, Target as Row, Value};
 use briarshift_units::{DataCentre, PoolId, TargetId};
 
@@ -83,7 +83,7 @@
         let (running, waiting) = self.load();
         let (Spec::Engine(engine::Spec { slots, .. }) | Spec::Runner(desk::Spec { slots, .. })) =
             self.spec;
-        Report { running, waiting, slots }
+        Report { load: Some(Load { running, waiting, slots }), limit: None }
     }
 
     /// Returns the number of running and of waiting requests.
--- a/crates/units/src/lib.rs
+++ b/crates/units/src/lib.rs
@@ -15,6 +15,6 @@
 };
 pub use number::{
     BytesPerSecond, ChatKey, Digest, Error as NumberError, FencingToken, Fingerprint,
-    MegabitsPerSecond, PartId, PerSecond, RequestId, Revision, Size, StartNumber,
+    MegabitsPerSecond, PartId, PerSecond, RequestId, RequestRate, Revision, Size, StartNumber,
 };
 pub use time::{Moment, Span, WallTime};
--- a/crates/units/src/number.rs
+++ b/crates/units/src/number.rs
@@ -26,6 +26,9 @@
         /// Required number of digits.
         digits: usize,
     },
+    /// The text is not a rate.
+    #[error("{0:?} is not a rate: write requests per second as a decimal number, such as 2.5")]
+    Rate(String),
 }
 
 macro_rules! decimal {
@@ -154,6 +157,49 @@
     PartId
 }
 
+/// A rate of requests, in thousandths of a request per second.
+///
+/// # Examples
+///
+/// ```
+/// use briarshift_units::RequestRate;
+/// let rate: RequestRate = "2.5".parse().unwrap();
+/// assert_eq!(rate, RequestRate(2_500));
+/// assert_eq!(rate.to_string(), "2.500/s");
+/// assert_eq!(rate.to_string().parse(), Ok(rate));
+/// ```
+#[derive(
+    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct RequestRate(pub u64);
+
+impl RequestRate {
+    /// Returns the number of requests per second.
+    pub fn per_second(self) -> f64 {
+        self.0 as f64 / 1e3
+    }
+}
+
+impl fmt::Display for RequestRate {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}.{:03}/s", self.0 / 1_000, self.0 % 1_000)
+    }
+}
+
+impl FromStr for RequestRate {
+    type Err = Error;
+
+    fn from_str(text: &str) -> Result<Self, Error> {
+        let number = text.strip_suffix("/s").unwrap_or(text).parse::<f64>();
+        match number {
+            Ok(number) if number.is_finite() && 0.0 <= number => {
+                Ok(Self((number * 1e3).round() as u64))
+            }
+            _ => Err(Error::Rate(text.to_owned())),
+        }
+    }
+}
+
 /// The SHA-256 digest of a document.
 ///
 /// # Examples
