Keep requests to targets within the limits that they name

Cause: no decision knew of a limit. Loads bound the requests at a target at one time, not how many it gets in a second.

Change: routing::pace. VMs learn where all prompts go from heartbeats and relays, so each counts the prompts of all VMs in a sliding window of 4 s; requests without shared parts, and any while a peer is silent, go by equal shares at an even pace. A target that has reached its limit is no candidate; if none is left, the request is refused at once as not run, with the time until the first one permits it. Only an answer shows that a limit has ended, so a target gets at least a request in 10 s.

--- a/crates/gateway/src/request/choice.rs
+++ b/crates/gateway/src/request/choice.rs
@@ -39,7 +39,7 @@
 /// Chooses the target for a request. Returns `None` if its pool has no target.
 pub(super) fn choose(step: &Step<'_, '_>, pending: &Pending) -> Option<Choice> {
     let Step { ctx, view, .. } = step;
-    let query = view.query(ctx);
+    let query = view.query(ctx, pending);
     let mut candidates = view.targets.candidates(&query, &pending.pool, &pending.tried);
     // All targets of the pool may have failed this request; one of them has to
     // be tried again.
--- a/crates/gateway/src/request/state.rs
+++ b/crates/gateway/src/request/state.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, HashMap};
 
 use briarshift_routing::retry_window::Window;
-use briarshift_units::{PoolId, RequestId, Span};
+use briarshift_units::{Moment, PoolId, RequestId, Span};
 
 use super::admit::admit;
 use super::choice::{Choice, answer_deadline, choose};
@@ -64,7 +64,7 @@
     fn handle_arrival(&mut self, step: &mut Step<'_, '_>, arrival: &Arrival) {
         let pending = match admit(step, arrival) {
             Ok(pending) => pending,
-            Err(cause) => return refuse(step, arrival, cause),
+            Err(cause) => return refuse(step, arrival, cause, Span::ZERO),
         };
         let window = self.windows.entry(pending.pool.clone()).or_default();
         window.record_request(&step.ctx.me.bounds.retry_budget, step.ctx.at);
@@ -82,7 +82,12 @@
             return self.refuse_pending(step, request, Cause::Stale);
         }
         let Some(choice) = choose(step, pending) else {
-            return self.refuse_pending(step, request, Cause::NoTarget);
+            let query = step.view.query(step.ctx, pending);
+            let permitted_at = step.view.targets.permitted_at(&query, &pending.pool);
+            return match permitted_at {
+                Some(at) => self.refuse_until(step, request, at),
+                None => self.refuse_pending(step, request, Cause::NoTarget),
+            };
         };
         pending.sends += 1;
         let id = SendId { request, number: pending.sends };
@@ -105,7 +110,8 @@
         targets.remove_backlog(&active.target, backlog);
         targets.record_answer(&active.target, true, at);
         if let Some(report) = report {
-            targets.set_report(step.ctx, &active.target, report, true, step.out);
+            let vms = step.view.peers.fleet_size();
+            targets.set_report(step.ctx, &active.target, report, true, vms, step.out);
         }
     }
 
@@ -125,7 +131,8 @@
         step.view.targets.remove_request(&active.target, active.backlog);
         if let Some(report) = report {
             let ok = matches!(end, End::Complete { ok: true });
-            step.view.targets.set_report(step.ctx, &active.target, report, ok, step.out);
+            let vms = step.view.peers.fleet_size();
+            step.view.targets.set_report(step.ctx, &active.target, report, ok, vms, step.out);
         }
         record_end(step, pending, &active, end);
         pending.record_end(&active, end);
@@ -183,7 +190,26 @@
         }
     }
 
+    /// Refuses a request because all targets have reached the limits that they name, until
+    /// `permitted_at`.
+    fn refuse_until(&mut self, step: &mut Step<'_, '_>, request: RequestId, permitted_at: Moment) {
+        let wait = permitted_at.since(step.ctx.at);
+        self.refuse_pending_after(step, request, Cause::TurnedAway, wait);
+    }
+
     fn refuse_pending(&mut self, step: &mut Step<'_, '_>, request: RequestId, cause: Cause) {
+        self.refuse_pending_after(step, request, cause, Span::ZERO);
+    }
+
+    /// Refuses a request. The caller should wait at least for `wait` before it sends it
+    /// again.
+    fn refuse_pending_after(
+        &mut self,
+        step: &mut Step<'_, '_>,
+        request: RequestId,
+        cause: Cause,
+        wait: Span,
+    ) {
         let Some(pending) = self.pending.remove(&request) else { return };
         // A target's own failure answer is more informative than a refusal.
         if pending.holds_failure {
@@ -195,7 +221,7 @@
             cause if pending.may_have_run && cause.is_not_run() => Cause::Unknown,
             cause => cause,
         };
-        refuse(step, &pending.arrival, cause);
+        refuse(step, &pending.arrival, cause, wait);
     }
 
     fn active_send(&mut self, id: SendId) -> Option<&mut ActiveSend> {
@@ -228,7 +254,8 @@
 /// Adds a request to the load and the cache of its target.
 fn record_send(step: &mut Step<'_, '_>, pending: &Pending, choice: &Choice) {
     let view = &mut *step.view;
-    view.targets.add_request(&choice.target, choice.unread_tokens);
+    let vms = view.peers.fleet_size();
+    view.targets.record_send(&choice.target, choice.unread_tokens, vms, step.ctx.at);
     let pool = view.catalog.and_then(|catalog| catalog.pool(&pending.pool));
     let memory = pool.and_then(|pool| pool.engine).map(|engine| engine.memory_tokens);
     if let Some(entry) = view.targets.get(&choice.target) {
@@ -260,16 +287,16 @@
     }
 }
 
-fn refuse(step: &mut Step<'_, '_>, arrival: &Arrival, cause: Cause) {
-    let retry_after = retry_after(cause, step.ctx.entropy);
+fn refuse(step: &mut Step<'_, '_>, arrival: &Arrival, cause: Cause, wait: Span) {
+    let retry_after = retry_after(cause, wait, step.ctx.entropy);
     let refusal = Refusal { cause, retry_after };
     step.out.log(record::refused(step, arrival, &refusal));
     step.out.push(Effect::Decide { request: arrival.request, decision: Decision::Refuse(refusal) });
 }
 
-/// Returns how long the caller should wait, randomized so that callers do not
-/// all return at once.
-fn retry_after(cause: Cause, entropy: u64) -> Option<Span> {
+/// Returns how long the caller should wait, at least for `wait`, randomized so that
+/// callers do not all return at once.
+fn retry_after(cause: Cause, wait: Span, entropy: u64) -> Option<Span> {
     let base = match cause {
         Cause::NotReady | Cause::Stale => RETRY_AFTER_STALE,
         Cause::Leaving => RETRY_AFTER_LEAVING,
@@ -278,5 +305,6 @@
         Cause::Poison => RETRY_AFTER_POISON,
         _ => return None,
     };
+    let base = base.max(wait);
     Some(Span(base.0 + entropy % base.0.max(1)))
 }
--- a/crates/gateway/src/request/view.rs
+++ b/crates/gateway/src/request/view.rs
@@ -5,6 +5,7 @@
 use briarshift_catalog::Catalog;
 use briarshift_routing::freshness::Freshness;
 
+use super::pending::Pending;
 use crate::{Context, Output, cache, peer, poison, target};
 
 /// Which requests a VM refuses because it shuts down.
@@ -38,11 +39,16 @@
 
 impl View<'_> {
     /// Returns the parameters with which candidates are looked up.
-    pub(super) fn query<'a>(&'a self, ctx: &'a Context<'_>) -> target::Query<'a> {
+    pub(super) fn query<'a>(
+        &'a self,
+        ctx: &'a Context<'_>,
+        pending: &Pending,
+    ) -> target::Query<'a> {
         target::Query {
             data_centre: &ctx.me.data_centre,
             peer_loads: self.peers.loads(ctx.at),
             all_peers_live: self.peers.are_all_live(),
+            is_shared_prompt: !pending.shared_parts().is_empty(),
             now: ctx.at,
         }
     }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -201,6 +201,7 @@
             Datagram::LoadReport(report) => {
                 let placements = self.peers.receive_report(ctx, report);
                 self.cache.record_placements(&placements, placements.len() as u64, ctx.at);
+                self.targets.record_peer_sends(&placements, ctx.at);
             }
             Datagram::CrashReport(report) => {
                 if self.peers.address(&report.from).is_some() {
@@ -237,6 +238,8 @@
             self.send_poison_summary(ctx, &from, out);
         }
         self.cache.record_placements(&incoming.placements, incoming.new_prompts, ctx.at);
+        let new = incoming.placements.len().min(incoming.new_prompts as usize);
+        self.targets.record_peer_sends(&incoming.placements[..new], ctx.at);
         self.targets.apply_peer_failures(&incoming.failures, ctx.at);
         for crash in incoming.crashes {
             self.poison.record_peer_crash(ctx, crash, out);
--- a/crates/gateway/src/target/mod.rs
+++ b/crates/gateway/src/target/mod.rs
@@ -11,11 +11,12 @@
 
 use briarshift_logging::Record;
 use briarshift_routing::health::Health;
+use briarshift_routing::pace::{Known, Pace};
 use briarshift_routing::selection::Candidate;
 use briarshift_store::Version;
 use briarshift_store::registry::{Name, Row, Status, Target, Value};
 use briarshift_units::{DataCentre, Fingerprint, Moment, PartId, PoolId, RequestRate, TargetId};
-use briarshift_wire::heartbeat::{self, Failure, TargetHash};
+use briarshift_wire::heartbeat::{self, Failure, Placement, TargetHash};
 
 use crate::limit::{
     CRASH_SUSPICION_TIME, MAX_REPORT_AGE, MOVED_TARGET_PAUSE, UNCONFIRMED_TARGET_TTL,
@@ -81,8 +82,8 @@
     pub health: Health,
     version: Version,
     reported_load: Option<(Load, Moment)>,
-    /// Requests that it accepts from all VMs together, as its last answer said.
-    limit: Option<RequestRate>,
+    /// The pace of requests to it, if it names a limit.
+    pace: Option<Pace>,
     /// When its registration ended, if that was while the store was failing.
     ended_at: Option<Moment>,
     /// When another target last answered at its address.
@@ -103,7 +104,7 @@
             health: Health::default(),
             version,
             reported_load: None,
-            limit: None,
+            pace: None,
             ended_at: None,
             moved_at: None,
             interrupted: Vec::new(),
@@ -131,6 +132,43 @@
         (counted.max(reported), backlog)
     }
 
+    /// Returns when the limit that the target names permits a request, at the earliest
+    /// now.
+    fn permitted_at(&self, query: &Query<'_>) -> Moment {
+        let Some(pace) = &self.pace else { return query.now };
+        let by_share = || pace.permitted_at(Known::Own, query.now);
+        let by_count = || pace.permitted_at(Known::All, query.now);
+        match (query.is_shared_prompt, query.all_peers_live) {
+            (false, _) => by_share(),
+            (true, true) => by_count(),
+            // Silent peers may send to the target too.
+            (true, false) => by_share().max(by_count()),
+        }
+    }
+
+    fn set_limit(
+        &mut self,
+        ctx: &Context<'_>,
+        id: &TargetId,
+        limit: Option<RequestRate>,
+        vms: usize,
+        out: &mut Output,
+    ) {
+        if self.pace.as_ref().map(Pace::limit) == limit {
+            return;
+        }
+        let line = Record::new("target_limit").with("target", id);
+        let Some(limit) = limit else {
+            self.pace = None;
+            return out.log(line.with("limit", "none"));
+        };
+        out.log(line.with("limit", limit));
+        match &mut self.pace {
+            Some(pace) => pace.set_limit(limit, vms, ctx.at),
+            None => self.pace = Some(Pace::new(limit, vms, ctx.at, ctx.entropy)),
+        }
+    }
+
     fn is_ready(&self, now: Moment) -> bool {
         self.target.status == Status::Ready && self.ended_at.is_none() && !self.has_moved(now)
     }
@@ -160,6 +198,8 @@
     pub peer_loads: &'a Loads,
     /// Whether all peers are live.
     pub all_peers_live: bool,
+    /// Whether peers learn where the request goes, because its prompt has shared parts.
+    pub is_shared_prompt: bool,
     /// The current time.
     pub now: Moment,
 }
@@ -315,8 +355,17 @@
         self.data_centres.set_silent(silent, out);
     }
 
+    /// Returns when a target of a pool may get a request, if all that could serve it have
+    /// reached the limits that they name.
+    pub fn permitted_at(&self, query: &Query<'_>, pool: &PoolId) -> Option<Moment> {
+        let of_pool = self.entries.values().filter(|entry| entry.target.pool == *pool);
+        let ready = of_pool.filter(|entry| entry.is_ready(query.now));
+        let earliest = ready.map(|entry| entry.permitted_at(query)).min();
+        earliest.filter(|at| query.now < *at)
+    }
+
     /// Returns the targets of a pool that may get a request, except those in
-    /// `tried`. Targets whose registration ended while the store was failing are
+    /// `tried` and those that have reached the limit that they name. Targets whose registration ended while the store was failing are
     /// returned only if there are no others.
     pub fn candidates<'a>(
         &'a self,
@@ -326,7 +375,7 @@
     ) -> Vec<Candidate<'a>> {
         let now = query.now;
         let of_pool = |(id, entry): &(&'a TargetId, &'a Entry)| {
-            entry.target.pool == *pool && !tried.contains(id)
+            entry.target.pool == *pool && !tried.contains(id) && entry.permitted_at(query) <= now
         };
         let candidate = |(id, entry): (&'a TargetId, &'a Entry)| self.candidate(query, id, entry);
         let all = self.entries.iter().filter(of_pool);
@@ -361,11 +410,26 @@
         }
     }
 
-    /// Counts a request that is sent to a target, and its unread prompt tokens.
-    pub fn add_request(&mut self, id: &TargetId, tokens: u64) {
-        if let Some(entry) = self.entries.get_mut(id) {
-            entry.requests += 1;
-            entry.backlog += tokens;
+    /// Counts a request that this VM, one of `vms`, sends to a target, and its unread
+    /// prompt tokens.
+    pub fn record_send(&mut self, id: &TargetId, tokens: u64, vms: usize, now: Moment) {
+        let Some(entry) = self.entries.get_mut(id) else { return };
+        entry.requests += 1;
+        entry.backlog += tokens;
+        if let Some(pace) = &mut entry.pace {
+            pace.record_send(now);
+            pace.take_share(vms, now);
+        }
+    }
+
+    /// Counts prompts that peers have sent, for the limits that targets name.
+    pub fn record_peer_sends(&mut self, placements: &[Placement], now: Moment) {
+        for placement in placements {
+            let id = self.ids_by_hash.get(&placement.target);
+            let entry = id.and_then(|id| self.entries.get_mut(id));
+            if let Some(pace) = entry.and_then(|entry| entry.pace.as_mut()) {
+                pace.record_send(now);
+            }
         }
     }
 
@@ -392,19 +456,16 @@
         id: &TargetId,
         report: Report,
         ok: bool,
+        vms: usize,
         out: &mut Output,
     ) {
         let Some(entry) = self.entries.get_mut(id) else { return };
         if let Some(load) = report.load {
             entry.reported_load = Some((load, ctx.at));
         }
-        if entry.limit != report.limit && (ok || report.limit.is_some()) {
-            entry.limit = report.limit;
-            let line = Record::new("target_limit").with("target", id);
-            out.log(match report.limit {
-                Some(limit) => line.with("limit", limit),
-                None => line.with("limit", "none"),
-            });
+        match report.limit {
+            None if !ok => {}
+            limit => entry.set_limit(ctx, id, limit, vms, out),
         }
     }
 
--- a/crates/gateway/tests/all/limit.rs
+++ b/crates/gateway/tests/all/limit.rs
@@ -21,6 +21,7 @@
 fn a_limit_that_a_target_names_is_logged_when_it_changes() {
     let mut world = World::new(&["t-1"]);
     for limit in [Some(RequestRate(2_600)), Some(RequestRate(2_600)), None, None] {
+        world.advance(500);
         let send = expect_send(world.arrive("/safe/a"));
         complete(&mut world, &send, limit);
     }
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod cache;
 pub mod freshness;
 pub mod health;
+pub mod pace;
 pub mod popularity;
 pub mod queue;
 pub mod rank;
