Tell all VMs at once when a target names a limit or no longer does

Cause: each VM learned from its own answers alone that a limit had ended. At the limit it sends a target a request every few seconds, and until then all prompts went to the targets that it believed open.

Change: the VM whose answer shows a limit, another one or none tells all others; a limit that goes on is repeated every 2 s by one VM, and expires when no answer names it for long. A target in need is now also spared by VMs that have no answer of it yet.

Tests: limit::a_limit_that_begins_or_ends_for_one_vm_does_so_for_all, a_limit_that_no_answer_names_expires.

--- a/crates/gateway/src/limit.rs
+++ b/crates/gateway/src/limit.rs
@@ -151,6 +151,14 @@
 pub const MAX_CRASH_REPORT_ITEMS: usize = 64;
 /// Maximum number of parts of a prompt that are suspected of a crash.
 pub const MAX_SUSPECT_PARTS: usize = 32;
+/// Interval between two reports of limits that targets name.
+pub const LIMIT_REPORT_INTERVAL: Span = Span::from_millis(100);
+/// Interval at which VMs tell each other of a limit that has not changed.
+pub const LIMIT_REPEAT_INTERVAL: Span = Span::from_secs(2);
+/// Time after which a limit that no answer names has ended: two such reports may be lost.
+pub const LIMIT_TTL: Span = Span::from_secs(6);
+/// Maximum number of limits in a report, so that it fits in a datagram.
+pub const MAX_REPORTED_LIMITS: usize = 100;
 /// Maximum number of prompt parts in a log line.
 pub const MAX_LOGGED_PARTS: usize = 8;
 /// Maximum number of requests whose crashes are kept.
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -106,6 +106,7 @@
     fn handle_tick(&mut self, ctx: &Context<'_>, out: &mut Output) {
         self.sync.tick(ctx, &self.peers, out);
         self.targets.tick(ctx, out);
+        self.targets.tick_limits(ctx, &self.peers, out);
         self.poison.tick(ctx, &self.peers, out);
         self.cache.tick(ctx.at);
         self.write_holdings(ctx, out);
@@ -208,6 +209,12 @@
                     self.poison.receive(ctx, report, out);
                 }
             }
+            Datagram::LimitReport(report) => {
+                if self.peers.address(&report.from).is_some() {
+                    let vms = self.peers.fleet_size();
+                    self.targets.receive_limits(ctx, report, vms, out);
+                }
+            }
             Datagram::SyncRequest(request) => {
                 if let Some(address) = self.peers.address(&request.from) {
                     self.sync.handle_request(ctx, &request, address, out);
--- a/crates/gateway/src/target/mod.rs
+++ b/crates/gateway/src/target/mod.rs
@@ -6,17 +6,17 @@
 //! if it is larger and recent.
 
 mod data_centre;
+mod limit;
 
 use std::collections::{BTreeMap, HashMap};
 
 use briarshift_logging::Record;
 use briarshift_routing::health::Health;
-use briarshift_routing::pace::{Known, Pace};
 use briarshift_routing::selection::Candidate;
 use briarshift_store::Version;
 use briarshift_store::registry::{Name, Row, Status, Target, Value};
 use briarshift_units::{DataCentre, Fingerprint, Moment, PartId, PoolId, RequestRate, TargetId};
-use briarshift_wire::heartbeat::{self, Failure, Placement, TargetHash};
+use briarshift_wire::heartbeat::{self, Failure, TargetHash};
 
 use crate::limit::{
     CRASH_SUSPICION_TIME, MAX_REPORT_AGE, MOVED_TARGET_PAUSE, UNCONFIRMED_TARGET_TTL,
@@ -82,8 +82,8 @@
     pub health: Health,
     version: Version,
     reported_load: Option<(Load, Moment)>,
-    /// The pace of requests to it, if it names a limit.
-    pace: Option<Pace>,
+    /// The limit on requests that it names.
+    limit: Option<limit::Active>,
     /// When its registration ended, if that was while the store was failing.
     ended_at: Option<Moment>,
     /// When another target last answered at its address.
@@ -104,7 +104,7 @@
             health: Health::default(),
             version,
             reported_load: None,
-            pace: None,
+            limit: None,
             ended_at: None,
             moved_at: None,
             interrupted: Vec::new(),
@@ -132,43 +132,6 @@
         (counted.max(reported), backlog)
     }
 
-    /// Returns when the limit that the target names permits a request, at the earliest
-    /// now.
-    fn permitted_at(&self, query: &Query<'_>) -> Moment {
-        let Some(pace) = &self.pace else { return query.now };
-        let by_share = || pace.permitted_at(Known::Own, query.now);
-        let by_count = || pace.permitted_at(Known::All, query.now);
-        match (query.is_shared_prompt, query.all_peers_live) {
-            (false, _) => by_share(),
-            (true, true) => by_count(),
-            // Silent peers may send to the target too.
-            (true, false) => by_share().max(by_count()),
-        }
-    }
-
-    fn set_limit(
-        &mut self,
-        ctx: &Context<'_>,
-        id: &TargetId,
-        limit: Option<RequestRate>,
-        vms: usize,
-        out: &mut Output,
-    ) {
-        if self.pace.as_ref().map(Pace::limit) == limit {
-            return;
-        }
-        let line = Record::new("target_limit").with("target", id);
-        let Some(limit) = limit else {
-            self.pace = None;
-            return out.log(line.with("limit", "none"));
-        };
-        out.log(line.with("limit", limit));
-        match &mut self.pace {
-            Some(pace) => pace.set_limit(limit, vms, ctx.at),
-            None => self.pace = Some(Pace::new(limit, vms, ctx.at, ctx.entropy)),
-        }
-    }
-
     fn is_ready(&self, now: Moment) -> bool {
         self.target.status == Status::Ready && self.ended_at.is_none() && !self.has_moved(now)
     }
@@ -211,6 +174,7 @@
     entries: BTreeMap<TargetId, Entry>,
     ids_by_hash: HashMap<TargetHash, TargetId>,
     data_centres: data_centre::State,
+    limit_news: limit::News,
 }
 
 impl State {
@@ -355,15 +319,6 @@
         self.data_centres.set_silent(silent, out);
     }
 
-    /// Returns when a target of a pool may get a request, if all that could serve it have
-    /// reached the limits that they name.
-    pub fn permitted_at(&self, query: &Query<'_>, pool: &PoolId) -> Option<Moment> {
-        let of_pool = self.entries.values().filter(|entry| entry.target.pool == *pool);
-        let ready = of_pool.filter(|entry| entry.is_ready(query.now));
-        let earliest = ready.map(|entry| entry.permitted_at(query)).min();
-        earliest.filter(|at| query.now < *at)
-    }
-
     /// Returns the targets of a pool that may get a request, except those in
     /// `tried` and those that have reached the limit that they name. Targets whose registration ended while the store was failing are
     /// returned only if there are no others.
@@ -416,21 +371,7 @@
         let Some(entry) = self.entries.get_mut(id) else { return };
         entry.requests += 1;
         entry.backlog += tokens;
-        if let Some(pace) = &mut entry.pace {
-            pace.record_send(now);
-            pace.take_share(vms, now);
-        }
-    }
-
-    /// Counts prompts that peers have sent, for the limits that targets name.
-    pub fn record_peer_sends(&mut self, placements: &[Placement], now: Moment) {
-        for placement in placements {
-            let id = self.ids_by_hash.get(&placement.target);
-            let entry = id.and_then(|id| self.entries.get_mut(id));
-            if let Some(pace) = entry.and_then(|entry| entry.pace.as_mut()) {
-                pace.record_send(now);
-            }
-        }
+        entry.record_limited_send(vms, now);
     }
 
     /// Removes prompt tokens that a target has read from its backlog.
@@ -448,8 +389,8 @@
         }
     }
 
-    /// Stores what a target reported. Only a success (`ok`) shows that a limit no longer
-    /// applies; other answers may come from a part of the target that does not name it.
+    /// Stores what a target reported in an answer to this VM, one of `vms`; `ok` is true
+    /// for a success.
     pub fn set_report(
         &mut self,
         ctx: &Context<'_>,
@@ -463,10 +404,7 @@
         if let Some(load) = report.load {
             entry.reported_load = Some((load, ctx.at));
         }
-        match report.limit {
-            None if !ok => {}
-            limit => entry.set_limit(ctx, id, limit, vms, out),
-        }
+        self.record_limit(ctx, id, report.limit, ok, vms, out);
     }
 
     /// Records that a target answered, and whether it succeeded.
--- a/crates/gateway/tests/all/limit.rs
+++ b/crates/gateway/tests/all/limit.rs
@@ -4,15 +4,18 @@
 
 use briarshift_gateway::Kind;
 use briarshift_gateway::request::{Arrival, Cause, Decision, End, Event as Request, Refusal, Send};
-use briarshift_gateway::target::Report;
+use briarshift_gateway::target;
 use briarshift_store::registry::Name;
 use briarshift_units::{Moment, RequestRate, Span};
+use briarshift_wire::datagram::Datagram;
+use briarshift_wire::heartbeat::TargetHash;
+use briarshift_wire::limit::{Limit, Report};
 
 use crate::world::{World, changes, expect_send, member, prompt};
 
 /// Ends a send with a success that names a limit, or none.
 fn complete(world: &mut World, send: &Send, limit: Option<RequestRate>) {
-    let report = Some(Report { load: None, limit });
+    let report = Some(target::Report { load: None, limit });
     let end = End::Complete { ok: true };
     world.apply(Kind::Request(Request::SendEnded { id: send.id, end, report }));
 }
@@ -25,13 +28,10 @@
         let send = expect_send(world.arrive("/safe/a"));
         complete(&mut world, &send, limit);
     }
-    let logged = world.log.iter().filter(|line| line.contains("target_limit"));
-    let limits: Vec<_> = logged.filter_map(|line| line.split_once(" limit=")).collect();
-    let line = "event=target_limit target=t-1";
-    assert_eq!(limits, [(line, "2.600/s"), (line, "none")]);
+    assert_eq!(logged_limits(&world), ["2.600/s", "none"]);
 }
 
-const ENGINES: [&str; 4] = ["t-1", "t-2", "t-3", "t-4"];
+const TARGETS: [&str; 4] = ["t-1", "t-2", "t-3", "t-4"];
 const LIMIT: RequestRate = RequestRate(2_000);
 const VMS: usize = 6;
 /// Time between two requests of the fleet, in milliseconds.
@@ -119,7 +119,7 @@
 fn start(id: &str, all: &[String]) -> World {
     let mut world = World::empty(id);
     world.tick();
-    world.read(&ENGINES);
+    world.read(&TARGETS);
     for peer in all.iter().filter(|peer| *peer != id) {
         world.change_row(Name::Member(peer.parse().unwrap()), Some(member(peer)));
     }
@@ -168,3 +168,48 @@
         }
     }
 }
+
+/// A peer's report of the limit of the target `t-1`.
+fn limit_report(rate: Option<RequestRate>) -> Kind {
+    let limits = vec![Limit { target: TargetHash::of("t-1"), rate }];
+    Kind::Datagram(Datagram::LimitReport(Report { from: "vm-2".parse().unwrap(), limits }))
+}
+
+/// Returns the values of the `limit` key of the lines on changes, the last word of each.
+fn logged_limits(world: &World) -> Vec<&str> {
+    let lines = world.log.iter().filter(|line| line.contains("target_limit"));
+    lines.filter_map(|line| Some(line.split_once(" limit=")?.1)).collect()
+}
+
+#[test]
+fn a_limit_that_begins_or_ends_for_one_vm_does_so_for_all() {
+    let all = ["vm-1".to_owned(), "vm-2".to_owned()];
+    let mut worlds = all.each_ref().map(|id| start(id, &all));
+    for limit in [Some(LIMIT), None] {
+        let send = expect_send(worlds[0].arrive("/safe/a"));
+        complete(&mut worlds[0], &send, limit);
+        for world in &mut worlds {
+            world.advance(1_000);
+            world.reply_rows(changes(), Ok(Vec::new()));
+            world.tick();
+        }
+        deliver_datagrams(&mut worlds);
+    }
+    for world in &worlds {
+        assert_eq!(logged_limits(world), ["2.000/s", "none"]);
+    }
+}
+
+#[test]
+fn a_limit_that_no_answer_names_expires() {
+    let mut world = start("vm-1", &["vm-2".to_owned()]);
+    world.apply(limit_report(Some(LIMIT)));
+    for _ in 0..6 {
+        world.advance(1_000);
+        world.tick();
+    }
+    assert_eq!(logged_limits(&world), ["2.000/s"]);
+    world.advance(1_000);
+    world.tick();
+    assert_eq!(logged_limits(&world), ["2.000/s", "expired"]);
+}
--- a/crates/routing/src/pace.rs
+++ b/crates/routing/src/pace.rs
@@ -74,6 +74,11 @@
         self.limit
     }
 
+    /// Returns the time between two requests at the limit.
+    pub fn spacing(&self) -> Span {
+        share_interval(self.limit, 1)
+    }
+
     /// Changes the limit.
     pub fn set_limit(&mut self, limit: RequestRate, vms: usize, now: Moment) {
         self.limit = limit;
--- a/crates/wire/src/datagram.rs
+++ b/crates/wire/src/datagram.rs
@@ -4,6 +4,7 @@
 
 use crate::crash;
 use crate::heartbeat::Heartbeat;
+use crate::limit;
 use crate::load::Report;
 use crate::sync::{Request, Response};
 use crate::{Error, versioned};
@@ -25,6 +26,8 @@
     LoadReport(Report),
     /// News of crashes, sent to all peers as they are seen.
     CrashReport(crash::Report),
+    /// Limits that targets name, sent to all peers as they are learned.
+    LimitReport(limit::Report),
 }
 
 impl Datagram {
