Refuse prompts that would drown the engines without a limit

Change: where engines have reached their limits, a prompt goes to another only if that has a free slot and can read it within the bound on unread tokens; otherwise it is refused at once as not run, until the first limit permits it. Nothing changes while no limit is reached.

Test: limit::engines_without_a_limit_are_not_drowned_by_what_the_others_refuse failed with 40 requests on 8 slots.

--- a/crates/gateway/src/request/choice.rs
+++ b/crates/gateway/src/request/choice.rs
@@ -36,8 +36,22 @@
     cached_tokens: u64,
 }
 
-/// Chooses the target for a request. Returns `None` if its pool has no target.
-pub(super) fn choose(step: &Step<'_, '_>, pending: &Pending) -> Option<Choice> {
+/// Why no target can get a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Denied {
+    /// Its pool has no target.
+    NoTarget,
+    /// Targets have reached the limits that they name, until this time, and the others
+    /// have no room.
+    Limited(Moment),
+}
+
+/// Chooses the target for a request.
+///
+/// # Errors
+///
+/// Returns why there is none.
+pub(super) fn choose(step: &Step<'_, '_>, pending: &Pending) -> Result<Choice, Denied> {
     let Step { ctx, view, .. } = step;
     let query = view.query(ctx, pending);
     let mut candidates = view.targets.candidates(&query, &pending.pool, &pending.tried);
@@ -49,26 +63,27 @@
     let cached_by = |candidate: &Candidate<'_>| {
         view.cache.cached_tokens(TargetHash::of(candidate.name), pending.shared_parts(), ctx.at)
     };
+    let limited_until = view.targets.limited_until(&query, &pending.pool);
+    let denied = limited_until.map_or(Denied::NoTarget, Denied::Limited);
     let index = if pending.parts.is_empty() {
         select_runner(step, &candidates)
     } else {
         let prompt = pending.prompt(view.cache.popularity(pending.shared_parts(), ctx.at));
-        selection::select_engine(
-            &candidates,
-            &prompt,
-            &ctx.me.bounds.engine_load,
-            cached_by,
-            ctx.entropy,
-        )
+        let bound = &ctx.me.bounds.engine_load;
+        // What engines at their limits do not get must not drown the others.
+        if limited_until.is_some() && !selection::has_room(&candidates, &prompt, bound, cached_by) {
+            return Err(denied);
+        }
+        selection::select_engine(&candidates, &prompt, bound, cached_by, ctx.entropy)
     };
-    let candidate = &candidates[index?];
+    let candidate = &candidates[index.ok_or(denied)?];
     let Candidate { name, load, backlog, .. } = *candidate;
     let cached_tokens = cached_by(candidate);
-    let target: TargetId = name.parse().ok()?;
+    let target: TargetId = name.parse().map_err(|_| denied)?;
     let fetch_from = find_holder(step, pending, &target, cached_tokens);
     let available = fetch_from.as_ref().map_or(cached_tokens, |holder| holder.cached_tokens);
     let unread_tokens = pending.prompt_tokens().saturating_sub(available);
-    Some(Choice {
+    Ok(Choice {
         target,
         unread_tokens,
         cached_tokens,
--- a/crates/gateway/src/request/state.rs
+++ b/crates/gateway/src/request/state.rs
@@ -6,7 +6,7 @@
 use briarshift_units::{Moment, PoolId, RequestId, Span};
 
 use super::admit::admit;
-use super::choice::{Choice, answer_deadline, choose};
+use super::choice::{Choice, Denied, answer_deadline, choose};
 use super::pending::{ActiveSend, Pending};
 use super::view::{Step, View};
 use super::{Arrival, Cause, Decision, End, Event, Refusal, Send, SendId, record};
@@ -81,13 +81,12 @@
         if pending.has_account() && !step.view.freshness.is_fresh(step.ctx.at) {
             return self.refuse_pending(step, request, Cause::Stale);
         }
-        let Some(choice) = choose(step, pending) else {
-            let query = step.view.query(step.ctx, pending);
-            let permitted_at = step.view.targets.permitted_at(&query, &pending.pool);
-            return match permitted_at {
-                Some(at) => self.refuse_until(step, request, at),
-                None => self.refuse_pending(step, request, Cause::NoTarget),
-            };
+        let choice = match choose(step, pending) {
+            Ok(choice) => choice,
+            Err(Denied::NoTarget) => {
+                return self.refuse_pending(step, request, Cause::NoTarget);
+            }
+            Err(Denied::Limited(until)) => return self.refuse_until(step, request, until),
         };
         pending.sends += 1;
         let id = SendId { request, number: pending.sends };
--- a/crates/gateway/src/target/limit.rs
+++ b/crates/gateway/src/target/limit.rs
@@ -162,13 +162,12 @@
         out.push(Effect::Broadcast { addresses: peers.addresses(), datagram });
     }
 
-    /// Returns when a target of a pool may get a request, if all that could serve it have
-    /// reached the limits that they name.
-    pub fn permitted_at(&self, query: &Query<'_>, pool: &PoolId) -> Option<Moment> {
+    /// Returns when the first of the targets of a pool that have reached the limits that
+    /// they name may get a request.
+    pub fn limited_until(&self, query: &Query<'_>, pool: &PoolId) -> Option<Moment> {
         let of_pool = self.entries.values().filter(|entry| entry.target.pool == *pool);
         let ready = of_pool.filter(|entry| entry.is_ready(query.now));
-        let earliest = ready.map(|entry| entry.permitted_at(query)).min();
-        earliest.filter(|at| query.now < *at)
+        ready.map(|entry| entry.permitted_at(query)).filter(|at| query.now < *at).min()
     }
 
     /// Counts prompts that peers have sent, for the limits that targets name.
--- a/crates/gateway/tests/all/limit.rs
+++ b/crates/gateway/tests/all/limit.rs
@@ -11,7 +11,7 @@
 use briarshift_wire::heartbeat::TargetHash;
 use briarshift_wire::limit::{Limit, Report};
 
-use crate::world::{World, changes, expect_send, member, prompt};
+use crate::world::{World, changes, expect_refusal, expect_send, member, prompt};
 
 /// Ends a send with a success that names a limit, or none.
 fn complete(world: &mut World, send: &Send, limit: Option<RequestRate>) {
@@ -213,3 +213,28 @@
     world.tick();
     assert_eq!(logged_limits(&world), ["2.000/s", "expired"]);
 }
+
+#[test]
+fn engines_without_a_limit_are_not_drowned_by_what_the_others_refuse() {
+    let mut world = World::new(&["t-1", "t-2"]);
+    let arrive = |world: &mut World, number: u64| {
+        world.arrive_with("/chat/a", |arrival| arrival.parts = prompt(1, number % 4))
+    };
+    world.change_row(Name::Member("vm-2".parse().unwrap()), Some(member("vm-2")));
+    world.apply(limit_report(Some(LIMIT)));
+    let mut running = 0;
+    for number in 0..40 {
+        match arrive(&mut world, number) {
+            Decision::Send(send) => {
+                // Its prompt is read at once.
+                world.apply(Kind::Request(Request::AnswerBegan { id: send.id, report: None }));
+                running += u32::from(send.target.as_str() == "t-2");
+            }
+            decision => assert_eq!(expect_refusal(decision), Cause::TurnedAway),
+        }
+    }
+    // All slots of the engine are taken, and no more.
+    assert_eq!(running, 8);
+    world.apply(limit_report(None));
+    expect_send(arrive(&mut world, 41));
+}
--- a/crates/routing/src/selection.rs
+++ b/crates/routing/src/selection.rs
@@ -122,7 +122,6 @@
     let replicas = replicas(prompt.share, load, usable.len());
     let unread =
         |engine: &Candidate<'a>| engine.backlog + prompt.tokens.saturating_sub(cached(engine));
-    let can_read = |engine: &Candidate<'a>| engine.backlog == 0 || unread(engine) <= bound.backlog;
     let score = |index: usize| rank::score(prompt.key, candidates[index].name);
     let open = usable.iter().copied().filter(|&index| candidates[index].load < max_load);
     // The index breaks ties between equal scores.
@@ -131,7 +130,7 @@
     while first.len() < replicas
         && let Some((_, Reverse(index))) = open.pop()
     {
-        if can_read(&candidates[index]) {
+        if can_read(&candidates[index], prompt, bound, cached(&candidates[index])) {
             first.push(index);
         }
     }
@@ -144,6 +143,42 @@
     })
 }
 
+/// Returns true if a healthy engine has a free slot and can read a prompt within its bound
+/// on unread tokens. `cached` returns how many tokens of the prompt's shared parts an engine
+/// has cached.
+///
+/// # Examples
+///
+/// ```
+/// use briarshift_routing::selection::{Bound, Candidate, Prompt, has_room};
+/// use briarshift_units::ChatKey;
+/// let bound = Bound { factor: 1.5, extra: 1, backlog: 9_000 };
+/// let prompt = Prompt { key: ChatKey(7), tokens: 600, share: 0.01 };
+/// let engine = Candidate {
+///     name: "a", load: 5, backlog: 0, slots: 6, local: true, healthy: true, error_rate: 0.0,
+/// };
+/// let has_room = |engine| has_room(&[engine], &prompt, &bound, |_| 0);
+/// assert!(has_room(engine));
+/// assert!(!has_room(Candidate { load: 6, ..engine }));
+/// assert!(!has_room(Candidate { backlog: 9_000, ..engine }));
+/// ```
+pub fn has_room<'a>(
+    candidates: &[Candidate<'a>],
+    prompt: &Prompt,
+    bound: &Bound,
+    cached: impl Fn(&Candidate<'a>) -> u64,
+) -> bool {
+    let engines = usable(candidates).into_iter().map(|index| &candidates[index]);
+    let mut open = engines.filter(|engine| engine.load < engine.slots);
+    open.any(|engine| can_read(engine, prompt, bound, cached(engine)))
+}
+
+/// Returns true if an engine that has cached some of a prompt's tokens can read the others
+/// within its bound on unread tokens.
+fn can_read(engine: &Candidate<'_>, prompt: &Prompt, bound: &Bound, cached: u64) -> bool {
+    engine.backlog == 0 || engine.backlog + prompt.tokens.saturating_sub(cached) <= bound.backlog
+}
+
 /// Selects the runner for a request without a prompt and returns its index.
 /// `entropy` is a random number. Returns `None` if there are no candidates.
 ///
