Keep blocked parts in the store for fleets that lose all VMs at once

Peers tell a VM that starts which parts are blocked; after a loss of all VMs nobody can, and each such part would crash three engines again. They are now written with what engines hold, every 4 s by one VM, so that no call to the store is added. The stored value has a new version: VMs of the version before log it as unusable and start without the hint, as they do with any other that they can't read. Test: poison::a_vm_that_starts_without_peers_restores_which_parts_are_refused (failed: sent).

--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -133,8 +133,8 @@
         }
     }
 
-    /// Writes what engines hold for VMs that start, if this VM writes for the
-    /// fleet.
+    /// Writes what engines hold, and what crashes them, for VMs that start, if this VM
+    /// writes for the fleet.
     fn write_holdings(&mut self, ctx: &Context<'_>, out: &mut Output) {
         if !self.cache.poll_holdings_write(ctx.at) {
             return;
@@ -143,13 +143,14 @@
         if !may_write || !self.peers.writes_for_fleet(ctx) {
             return;
         }
-        match self.cache.holdings(ctx.at).encode() {
+        let blocked = self.poison.blocked_parts(ctx.at);
+        match (Holdings { blocked, ..self.cache.holdings(ctx.at) }).encode() {
             Ok(holdings) => out.call(Call::WriteHoldings { holdings }, "writer"),
             Err(err) => out.log(Record::new("holdings_not_written").with("reason", err)),
         }
     }
 
-    /// Restores what engines hold from what a VM wrote to the store. Does
+    /// Restores what engines hold, and what crashes them, from what a VM wrote to the store. Does
     /// nothing if this VM already knows where prompts went, since that is
     /// newer.
     fn restore_holdings(&mut self, ctx: &Context<'_>, update: &Update, out: &mut Output) {
@@ -162,6 +163,9 @@
             match Holdings::decode(bytes) {
                 Ok(holdings) => {
                     let parts = self.cache.restore(&holdings, ctx.at);
+                    for &part in &holdings.blocked {
+                        self.poison.block(ctx, part, "holdings", out);
+                    }
                     out.log(line.with("engines", holdings.engines.len()).with("parts", parts));
                 }
                 Err(err) => out.log(line.with("unusable", err)),
--- a/crates/gateway/tests/all/poison.rs
+++ b/crates/gateway/tests/all/poison.rs
@@ -3,12 +3,13 @@
 use briarshift_gateway::Kind;
 use briarshift_gateway::request::{Arrival, Cause, Decision, End, Event};
 use briarshift_routing::selection::Part;
-use briarshift_store::registry::Name;
+use briarshift_store::registry::{Name, Value};
 use briarshift_units::{Fingerprint, PartId};
 use briarshift_wire::crash::{PromptCrash, Report};
 use briarshift_wire::datagram::Datagram;
 use briarshift_wire::heartbeat::{Crash, TargetHash};
 
+use crate::prompt::written_holdings;
 use crate::world::{
     World, expect_refusal, expect_send, heartbeat, interrupted, member, prompt, target,
 };
@@ -209,3 +210,18 @@
     }
     assert_eq!(expect_refusal(world.end(&send, interrupted()).unwrap()), Cause::Unknown);
 }
+
+/// All VMs were killed at once, and each part crashed three engines again.
+#[test]
+fn a_vm_that_starts_without_peers_restores_which_parts_are_refused() {
+    let mut before = world_with_blocked_part();
+    expect_send(arrive_with_parts(&mut before, &[FIRST_PART, 7], 100));
+    let holdings = written_holdings(&mut before).unwrap();
+
+    let mut started = World::empty("vm-1");
+    started.tick();
+    started.read_with(&["t-1"], Name::Holdings, Value::Holdings(holdings));
+    let refused = arrive_with_parts(&mut started, &[FIRST_PART, BAD_PART], 101);
+    assert_eq!(expect_refusal(refused), Cause::Poison);
+    expect_send(arrive_with_parts(&mut started, &[FIRST_PART, 7], 102));
+}
--- a/crates/gateway/tests/all/prompt.rs
+++ b/crates/gateway/tests/all/prompt.rs
@@ -103,7 +103,7 @@
 }
 
 /// Returns the holdings that the VM writes within five seconds.
-fn written_holdings(world: &mut World) -> Option<Vec<u8>> {
+pub fn written_holdings(world: &mut World) -> Option<Vec<u8>> {
     for _ in 0..50 {
         world.advance(100);
         world.tick();
--- a/crates/wire/src/holding.rs
+++ b/crates/wire/src/holding.rs
@@ -1,21 +1,25 @@
-//! The prompt parts that engines have cached, stored for VMs that start.
+//! The prompt parts that engines have cached, and those that crash engines, stored for
+//! VMs that start.
 //!
 //! One VM writes them to the platform's store every few seconds. A VM that
 //! starts reads them, because engines keep their caches when VMs are lost.
 
+use briarshift_units::PartId;
 use serde::{Deserialize, Serialize};
 
 use crate::heartbeat::Placement;
 use crate::{Error, versioned};
 
 /// Version of the encoding, the first byte of the stored value.
-const VERSION: u8 = 1;
+const VERSION: u8 = 2;
 
 /// The prompt parts that the writer believed to be cached at each engine.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Holdings {
     /// Cached prompt parts, by engine.
     pub engines: Vec<Placement>,
+    /// Parts that crash engines. Prompts with them are refused.
+    pub blocked: Vec<PartId>,
 }
 
 impl Holdings {
