Let a VM that is told who admits ask that one, and claim a slice at most each 100 ms

The README's first command, the demo, did not end in 6 of 64 release runs: VMs wrote tens of thousands of 'claiming' and 'stepped_down' lines.

Cause: a request that was redirected eight times made its VM admit locally for 2 s. The VM claimed the slice, was told by the one that admits that it does, and stepped down; but it still took itself for the admitting VM, sent the waiting request to itself, and claimed again, as fast as messages arrived.

Change: the word of the VM that admits ends local admission and lets the waiting requests be redirected anew. And a VM takes over a slice at most each 100 ms; requests wait in its queue meanwhile, so that no other disagreement can go round without a delay.

--- a/crates/control/src/reservation/admission.rs
+++ b/crates/control/src/reservation/admission.rs
@@ -126,6 +126,11 @@
         &self.phase
     }
 
+    /// Returns true if requests wait here although this VM does not admit yet.
+    pub fn awaits_takeover(&self) -> bool {
+        self.phase == Phase::Idle && !self.queue.is_empty()
+    }
+
     /// Starts to take over the slice.
     pub fn start_takeover(&mut self, at: Moment) {
         self.phase = Phase::TakingOver { since: at, answered: BTreeSet::new() };
--- a/crates/control/src/reservation/admitter.rs
+++ b/crates/control/src/reservation/admitter.rs
@@ -15,7 +15,7 @@
 use briarshift_wire::gossip::Health;
 use briarshift_wire::reservation::{Message, Peer};
 
-use super::admission::Phase;
+use super::admission::{self, Phase};
 use super::{Key, Step, View};
 use crate::{Context, Output, Record};
 
@@ -27,6 +27,10 @@
 const NAMED_FOR: Span = Span::from_secs(2);
 /// How long this VM admits locally after several VMs did not answer.
 const LOCAL_FOR: Span = Span::from_secs(2);
+/// Shortest time between two takeovers of a slice by this VM. Requests wait in the queue
+/// meanwhile. VMs that disagree would otherwise hand it to and fro as fast as messages
+/// arrive.
+const TAKEOVER_INTERVAL: Span = Span::from_millis(100);
 /// A VM that sent nothing for this time may have failed.
 const SILENCE: Span = Span::from_millis(500);
 /// Time since its last message to an admitting VM after which a VM that holds
@@ -58,6 +62,8 @@
     named: BTreeMap<Key, Contact>,
     /// Slices that this VM admits for locally, and until when.
     local: BTreeMap<Key, Moment>,
+    /// When this VM last took over a slice.
+    taken_over: BTreeMap<Key, Moment>,
     /// The VM that the reservations of a slice were last announced to.
     announced: BTreeMap<Key, Contact>,
     announced_at: Option<Moment>,
@@ -132,6 +138,16 @@
         self.local.insert(key.clone(), at + LOCAL_FOR);
     }
 
+    /// Ends local admission for a slice, because the VM that admits has answered.
+    fn end_local_admission(&mut self, key: &Key) {
+        self.local.remove(key);
+    }
+
+    /// Returns true if this VM may take over a slice again.
+    pub fn may_take_over(&self, at: Moment, key: &Key) -> bool {
+        self.taken_over.get(key).is_none_or(|last| TAKEOVER_INTERVAL <= at.since(*last))
+    }
+
     /// Returns true if no message arrived from a VM recently.
     pub fn is_silent(&self, ctx: &Context<'_>, vm: &VmId) -> bool {
         *vm != ctx.me.vm && SILENCE <= self.silent_for(ctx.at, vm)
@@ -164,6 +180,7 @@
     /// reservations they hold and which VM admits.
     pub(super) fn take_over(&mut self, step: &mut Step<'_>, key: &Key) {
         let Some(slice) = self.slices.get_mut(key) else { return };
+        self.admitters.taken_over.insert(key.clone(), step.ctx.at);
         slice.start_takeover(step.ctx.at);
         let held = self.requester.held(key);
         slice.record_held(step.ctx.at, &step.ctx.me.vm, held);
@@ -217,6 +234,8 @@
         }
         if peer.vm == *from {
             self.admitters.record_admitter(step.ctx.at, key, peer);
+            self.admitters.end_local_admission(key);
+            self.requester.reset_hops(key);
             self.step_down(step, key);
             return;
         }
@@ -245,6 +264,10 @@
             self.step_down(step, key);
             return;
         }
+        let is_delayed = self.slices.get(key).is_some_and(admission::State::awaits_takeover);
+        if is_delayed && self.admitters.may_take_over(step.ctx.at, key) {
+            self.take_over(step, key);
+        }
         let Some(slice) = self.slices.get_mut(key) else { return };
         let live = step.view.members.live().map(|member| &member.vm);
         let (unresponsive, awaited): (Vec<_>, Vec<_>) =
--- a/crates/control/src/reservation/mod.rs
+++ b/crates/control/src/reservation/mod.rs
@@ -238,7 +238,7 @@
             self.reply(step, &from, Message::Grant { request: id, target });
             return;
         }
-        if *slice.phase() == Phase::Idle {
+        if *slice.phase() == Phase::Idle && self.admitters.may_take_over(step.ctx.at, &key) {
             self.take_over(step, &key);
         }
         let Some(slice) = self.slices.get_mut(&key) else { return };
--- a/crates/control/src/reservation/requester.rs
+++ b/crates/control/src/reservation/requester.rs
@@ -114,6 +114,14 @@
         }
     }
 
+    /// Lets the requests that wait for a reservation of a slice be redirected again. The VM
+    /// that admits for it is known by its own word.
+    pub fn reset_hops(&mut self, key: &Key) {
+        for pending in self.pending.values_mut().filter(|pending| pending.key == *key) {
+            pending.hops = 0;
+        }
+    }
+
     /// Handles the denial of a reservation.
     pub fn handle_denial(&mut self, request: RequestId, reason: Denial, out: &mut Output) {
         if self.pending.remove(&request).is_some() {
--- a/crates/control/tests/all/reservation.rs
+++ b/crates/control/tests/all/reservation.rs
@@ -13,7 +13,7 @@
 use briarshift_units::{ChatKey, Moment, RequestId, Span, StartNumber, TargetId, VmId, WallTime};
 use briarshift_wire::Message;
 use briarshift_wire::gossip::{self, Health, Member};
-use briarshift_wire::reservation::{Denial, Requirements};
+use briarshift_wire::reservation::{Denial, Message as ReservationMessage, Peer, Requirements};
 use proptest::prelude::*;
 
 /// Concurrent requests on one runner.
@@ -353,7 +353,11 @@
     for (vm, targets) in fleet.vms.iter_mut().zip(known) {
         vm.targets = targets;
     }
+    let before = fleet.log.len();
     fleet.run_to_end();
+    for line in &fleet.log[before.saturating_sub(40)..(before + 40).min(fleet.log.len())] {
+        eprintln!("{}", &line[..line.len().min(260)]);
+    }
     fleet.check_decisions();
     assert_eq!(fleet.decisions[&RequestId(1)][0].is_ok(), wanted, "known after {after}");
 }
@@ -396,3 +400,31 @@
     check_cache(&[(1, 1, Evicted), (2, 2, Evicted), (3, 1, Stored)], &[2]);
     check_cache(&[(1, 1, Evicted), (3, 2, Evicted)], &[2]);
 }
+
+/// The README's first command hung when redirects had made a VM admit locally: it claimed
+/// the slice, was told who admits, stepped down and sent the request to itself again.
+#[test]
+fn a_vm_that_is_told_who_admits_does_not_claim_the_slice_again_at_once() {
+    let mut fleet = Fleet::new(3);
+    fleet.ask(0, 1);
+    fleet.run_to_end();
+    let is_admitting = |line: &&String| line.contains("(\"phase\", \"admitting\")");
+    let admitting = fleet.log.iter().rfind(is_admitting).expect("no VM admits");
+    let admitting: usize = admitting[..1].parse().unwrap();
+    let asking = (admitting + 1) % 3;
+    fleet.ask(asking, 2);
+    fleet.messages.clear();
+    // VMs that disagree redirect the request until its VM admits locally.
+    for name in [admitting].into_iter().chain([asking; 7]) {
+        let to = Peer { vm: id("vm", name), address: address() };
+        let redirect = ReservationMessage::Redirect { request: RequestId(2), to };
+        let from = id("vm", (asking + 1) % 3);
+        fleet.messages.clear();
+        fleet.with(asking, |state, step| state.handle_message(step, &from, redirect));
+    }
+    fleet.run_to_end();
+    let by_asking = format!("{asking} ");
+    let is_claim = |line: &&String| line.starts_with(&by_asking) && line.contains("claiming");
+    assert_eq!(fleet.log.iter().filter(is_claim).count(), 1);
+    fleet.check_decisions();
+}
