Count what a VM sends by its share from its last send

A VM that sent prompts by the count of all VMs pushed its own share ahead by an interval for each, and got no share for as long once a peer fell silent. Found on reading the change again; routing pace::what_a_vm_sent_by_the_count_of_all_is_no_debt_to_its_share failed.

--- a/crates/routing/src/pace.rs
+++ b/crates/routing/src/pace.rs
@@ -96,8 +96,7 @@
 
     /// Takes this VM's share for a request that it sends.
     pub fn take_share(&mut self, vms: usize, now: Moment) {
-        let interval = share_interval(self.limit, vms);
-        self.next_share_at = self.next_share_at.max(now) + interval;
+        self.next_share_at = now + share_interval(self.limit, vms);
     }
 
     /// Returns when the next request may be sent, at the earliest now.
--- a/crates/routing/tests/all/main.rs
+++ b/crates/routing/tests/all/main.rs
@@ -4,6 +4,7 @@
 mod blame;
 mod bucket;
 mod cache;
+mod pace;
 mod queue;
 mod rank;
 mod retry_window;
