--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -150,8 +150,8 @@
         }
     }
 
-    /// Restores what engines hold, and what crashes them, from what a VM wrote to the store. Does
-    /// nothing if this VM already knows where prompts went, since that is
+    /// Restores what engines hold, and what crashes them, from what a VM wrote to the
+    /// store. Does nothing if this VM already knows where prompts went, since that is
     /// newer.
     fn restore_holdings(&mut self, ctx: &Context<'_>, update: &Update, out: &mut Output) {
         if !update.snapshot || !self.cache.is_empty() {
--- a/crates/routing/src/blame.rs
+++ b/crates/routing/src/blame.rs
@@ -130,7 +130,8 @@
             self.make_room(*part);
             let suspect = self.suspects.entry(*part).or_insert_with(|| Suspect::new(now));
             suspect.add(engine, now);
-            suspect.deeper.extend(&parts[index + 1..]);
+            // A prompt may contain a part twice.
+            suspect.deeper.extend(parts[index + 1..].iter().filter(|deeper| *deeper != part));
         }
         let cause = parts.iter().rev().copied().find(|part| self.is_cause(*part))?;
         self.suspects.get_mut(&cause)?.blocked_at = Some(now);
--- a/crates/routing/tests/all/blame.rs
+++ b/crates/routing/tests/all/blame.rs
@@ -98,3 +98,12 @@
     ledger.record_answer(&[BAD]);
     assert_eq!(ledger.blocked(&[BAD], at(1_500)), None);
 }
+
+#[test]
+fn a_bad_part_that_prompts_contain_twice_is_blocked() {
+    let ledger = &mut Ledger::default();
+    for (number, other) in (0_u32..3).zip(7..) {
+        ledger.record_crash(&parts(&[66, other, 66]), number, at(u64::from(number) * 700));
+    }
+    assert_eq!(ledger.blocked(&[BAD], at(1_400)), Some(BAD));
+}
