--- a/review/standin/poison.rs
+++ b/review/standin/poison.rs
@@ -1,6 +1,6 @@
 //! A request crashes each runner that begins it.
 //!
-//! `killed`: all machines are killed, twice, in the middle of the day.
+//! `killed`: all machines are killed in the middle of the day.
 //! `same_id`: the runners start again under the ids that they had.
 
 use std::net::SocketAddr;
@@ -110,18 +110,25 @@
     }
 
     /// The request comes at both machines in turn, with the same path, caller and body.
-    fn arrive(&mut self, times: usize) {
+    fn arrive_in_turn(&mut self, times: usize) {
         for _ in 0..times {
             self.number += 1;
-            let gateway = &self.gateways[self.number % 2];
-            let attempt = format!("poison-{}", self.number);
-            self.record.line(format!("{attempt} is sent to {}", gateway.name));
-            if let Ok(mut client) = Client::open(gateway.caller) {
-                let (head, patience) = (headers(&attempt, KEY, 1_000), Duration::from_secs(2));
-                let answer = client.ask("POST", "/book/poison", &head, b"{\"roll\":1}", patience);
-                let (status, fault) = (answer.status, answer.fault);
-                self.record.line(format!("{attempt} is answered {status} {fault}"));
-            }
+            send(self.record, &self.gateways[self.number % 2], self.number);
+            sleep(PAUSE);
+        }
+    }
+
+    /// The request comes at both machines at once.
+    fn arrive_at_both(&mut self, times: usize) {
+        for _ in 0..times {
+            let first = self.number;
+            thread::scope(|scope| {
+                for (index, gateway) in self.gateways.iter().enumerate() {
+                    let record = self.record;
+                    scope.spawn(move || send(record, gateway, first + index + 1));
+                }
+            });
+            self.number += self.gateways.len();
             sleep(PAUSE);
         }
     }
@@ -166,21 +173,29 @@
     }
 }
 
+/// Sends the request once.
+fn send(record: &Record, gateway: &Gateway, number: usize) {
+    let attempt = format!("poison-{number}");
+    record.line(format!("{attempt} is sent to {}", gateway.name));
+    let Ok(mut client) = Client::open(gateway.caller) else { return };
+    let (head, patience) = (headers(&attempt, KEY, 1_000), Duration::from_secs(2));
+    let answer = client.ask("POST", "/book/poison", &head, b"{\"roll\":1}", patience);
+    record.line(format!("{attempt} is answered {} {}", answer.status, answer.fault));
+}
+
 pub fn killed(record: &Record, trouble: bool) -> Outcome {
     let mut fleet = Fleet::start(record, &["d-1", "d-2", "d-3"], false)?;
-    fleet.arrive(5);
-    for _ in 0..2 {
-        if trouble {
-            fleet.kill_all()?;
-        }
-        sleep(Duration::from_millis(STABLE_WINDOW_MS + 1_000));
-        fleet.arrive(4);
+    fleet.arrive_at_both(4);
+    if trouble {
+        fleet.kill_all()?;
     }
+    sleep(Duration::from_millis(STABLE_WINDOW_MS + 1_000));
+    fleet.arrive_at_both(4);
     fleet.judge()
 }
 
 pub fn same_id(record: &Record, trouble: bool) -> Outcome {
     let mut fleet = Fleet::start(record, &["d-1", "d-2"], trouble)?;
-    fleet.arrive(12);
+    fleet.arrive_in_turn(12);
     fleet.judge()
 }
