Accept in a graceful stop only what ends before the process does

Cause: while any request was in flight, requests that are no streams were accepted until 0.4 s before the end of the grace time, whatever they may take. Ruled out: the listener closing connections too early; the runners were still at work.

Change: gateway::drain decides. From the settle time on a request is accepted only if its deadline lies before the last moment at which answers are sent.

--- a/crates/daemon/src/gateway/task.rs
+++ b/crates/daemon/src/gateway/task.rs
@@ -135,28 +135,41 @@
         this.control.do_send(Arrived { arrival: job.arrival.clone(), decisions: sender });
         let job = Rc::new(job);
         let mut failed_answer = None;
-        while let Some(decision) = decisions.recv().await {
+        let mut next = decisions.recv().await;
+        while let Some(decision) = next.take() {
             match decision {
-                Decision::Send(send) => match Self::attempt_to_end(this, &job, &send, &guard).await
-                {
-                    Ok(TargetAnswer::Stream { head, first, body, splitter, report }) => {
-                        this.notify(Event::AnswerBegan { id: send.id, report });
-                        let close = this.shared.is_draining();
-                        let stream = (send, body, splitter);
-                        let relay = Relay::new(Rc::clone(this), job, guard, decisions, stream);
-                        return response::from_target(&head, close).streaming(relay.stream(first));
+                Decision::Send(send) => {
+                    let answered = tokio::select! {
+                        biased;
+                        answered = Self::attempt_to_end(this, &job, &send, &guard) => answered,
+                        // The process ends before the attempt does.
+                        decision = decisions.recv() => {
+                            next = decision;
+                            continue;
+                        }
+                    };
+                    match answered {
+                        Ok(TargetAnswer::Stream { head, first, body, splitter, report }) => {
+                            this.notify(Event::AnswerBegan { id: send.id, report });
+                            let close = this.shared.is_draining();
+                            let stream = (send, body, splitter);
+                            let relay = Relay::new(Rc::clone(this), job, guard, decisions, stream);
+                            return response::from_target(&head, close)
+                                .streaming(relay.stream(first));
+                        }
+                        Ok(TargetAnswer::Complete { head, body, report }) if head.status < 500 => {
+                            guard.disarm();
+                            this.report_end(send.id, End::Complete { ok: true }, report);
+                            return response::from_target(&head, this.shared.is_draining())
+                                .body(body);
+                        }
+                        Ok(TargetAnswer::Complete { head, body, report }) => {
+                            this.report_end(send.id, End::Failed { status: head.status }, report);
+                            failed_answer = Some((head, body));
+                        }
+                        Err(FailedAttempt { end, report }) => this.report_end(send.id, end, report),
                     }
-                    Ok(TargetAnswer::Complete { head, body, report }) if head.status < 500 => {
-                        guard.disarm();
-                        this.report_end(send.id, End::Complete { ok: true }, report);
-                        return response::from_target(&head, this.shared.is_draining()).body(body);
-                    }
-                    Ok(TargetAnswer::Complete { head, body, report }) => {
-                        this.report_end(send.id, End::Failed { status: head.status }, report);
-                        failed_answer = Some((head, body));
-                    }
-                    Err(FailedAttempt { end, report }) => this.report_end(send.id, end, report),
-                },
+                }
                 Decision::Deliver => {
                     guard.disarm();
                     let Some((head, body)) = failed_answer else { break };
@@ -167,6 +180,7 @@
                     return this.refuse(&refusal);
                 }
             }
+            next = decisions.recv().await;
         }
         guard.disarm();
         let (error, remedy) =
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -17,6 +17,7 @@
 //! - [`cache`] tracks which engine holds which prompt parts;
 //! - [`poison`] counts the targets that crashed while they ran the same
 //!   request;
+//! - [`drain`] shuts this VM down gracefully;
 //! - [`request`] handles a request from its arrival to its end.
 //!
 //! [`State`] passes events to the components, and gives each of them access to
@@ -28,6 +29,7 @@
 mod state;
 
 pub mod cache;
+pub mod drain;
 pub mod limit;
 pub mod peer;
 pub mod poison;
--- a/crates/gateway/src/request/admit.rs
+++ b/crates/gateway/src/request/admit.rs
@@ -5,7 +5,7 @@
 use briarshift_catalog::{Account, Catalog, Route};
 use briarshift_routing::cache::prefixes;
 use briarshift_routing::rank;
-use briarshift_units::{ChatKey, PoolId};
+use briarshift_units::{ChatKey, Moment, PoolId};
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::pending::Pending;
@@ -28,16 +28,17 @@
     if account.is_some() && !is_fresh {
         return Err(Cause::Stale);
     }
-    if is_refused(step.view.leaving, &route) {
+    let wait = arrival.deadline.map_or(route.timeout, |deadline| deadline.min(route.timeout));
+    let deadline = arrival.at + wait;
+    if is_refused(step.view.leaving, &route, deadline) {
         return Err(Cause::Leaving);
     }
     if step.view.poison.is_poison(arrival, step.ctx.at) {
         return Err(Cause::Poison);
     }
     let pool = pool(&route, arrival).ok_or(Cause::NoTarget)?;
-    let wait = arrival.deadline.map_or(route.timeout, |deadline| deadline.min(route.timeout));
     Ok(Pending {
-        deadline: arrival.at + wait,
+        deadline,
         parts: if route.cache_aware { prefixes(&arrival.parts) } else { Vec::new() },
         arrival: arrival.clone(),
         route,
@@ -52,13 +53,12 @@
     })
 }
 
-/// Returns true if this VM shuts down and no longer accepts requests of the
-/// route. Streams are refused first, since they could outlast the VM; a short
-/// answer is finished in time.
-fn is_refused(leaving: Leaving, route: &Route) -> bool {
+/// Returns true if this VM shuts down and does not accept a request of the route
+/// with this deadline any more.
+fn is_refused(leaving: Leaving, route: &Route, deadline: Moment) -> bool {
     match leaving {
         Leaving::No => false,
-        Leaving::RefusesStreams => route.kind.is_stream(),
+        Leaving::AcceptsUntil(end) => route.kind.is_stream() || end < deadline,
         Leaving::RefusesAll => true,
     }
 }
--- a/crates/gateway/src/request/record.rs
+++ b/crates/gateway/src/request/record.rs
@@ -25,7 +25,16 @@
 
 /// Returns the record of a caller that left before the end.
 pub(super) fn caller_left(ctx: &Context<'_>, pending: &Pending) -> Record {
-    let line = Record::new("caller_left")
+    unfinished("caller_left", ctx, pending)
+}
+
+/// Returns the record of a request that the end of this process cuts off.
+pub(super) fn cut_off(ctx: &Context<'_>, pending: &Pending) -> Record {
+    unfinished("cut_off", ctx, pending)
+}
+
+fn unfinished(event: &'static str, ctx: &Context<'_>, pending: &Pending) -> Record {
+    let line = Record::new(event)
         .with("request", &pending.arrival.attempt)
         .with("after", ctx.at.since(pending.arrival.at));
     match &pending.active_send {
--- a/crates/gateway/src/request/state.rs
+++ b/crates/gateway/src/request/state.rs
@@ -61,6 +61,22 @@
         }
     }
 
+    /// Ends all requests because the process ends. Their callers are told that they may
+    /// have run; a stream that has begun can only be broken off.
+    pub fn end_all(&mut self, ctx: &Context<'_>, out: &mut Output) {
+        let mut pending: Vec<_> = std::mem::take(&mut self.pending).into_iter().collect();
+        pending.sort_by_key(|(request, _)| *request);
+        for (request, pending) in pending {
+            out.log(record::cut_off(ctx, &pending));
+            let refusal = Refusal { cause: Cause::Unknown, retry_after: None };
+            let decision = match pending.holds_failure {
+                true => Decision::Deliver,
+                false => Decision::Refuse(refusal),
+            };
+            out.push(Effect::Decide { request, decision });
+        }
+    }
+
     fn handle_arrival(&mut self, step: &mut Step<'_, '_>, arrival: &Arrival) {
         let pending = match admit(step, arrival) {
             Ok(pending) => pending,
--- a/crates/gateway/src/request/view.rs
+++ b/crates/gateway/src/request/view.rs
@@ -4,6 +4,7 @@
 
 use briarshift_catalog::Catalog;
 use briarshift_routing::freshness::Freshness;
+use briarshift_units::Moment;
 
 use super::pending::Pending;
 use crate::{Context, Output, cache, peer, poison, target};
@@ -13,8 +14,9 @@
 pub enum Leaving {
     /// None.
     No,
-    /// Streams, which could outlast the VM.
-    RefusesStreams,
+    /// Streams, and requests whose deadline is later than this: they could outlast
+    /// the process.
+    AcceptsUntil(Moment),
     /// All.
     RefusesAll,
 }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -11,27 +11,14 @@
 use briarshift_wire::heartbeat::Heartbeat;
 use briarshift_wire::holding::Holdings;
 
-use crate::limit::{DRAIN_FLUSH, DRAIN_RESERVE, DRAIN_SETTLE};
 use crate::peer::Outgoing;
-use crate::request::Leaving;
 use crate::status::Status;
 use crate::sync::Update;
 use crate::{
-    Bounds, Context, Effect, Event, Identity, Kind, Output, cache, peer, poison, request, sync,
-    target,
+    Bounds, Context, Effect, Event, Identity, Kind, Output, cache, drain, peer, poison, request,
+    sync, target,
 };
 
-/// Progress of a graceful shutdown.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Drain {
-    No,
-    Draining(Moment),
-    /// No request is accepted any more; the last answers and refusals are being
-    /// sent.
-    Closing(Moment),
-    Done,
-}
-
 /// The whole state of a gateway VM.
 #[derive(Debug)]
 pub struct State {
@@ -42,7 +29,7 @@
     cache: cache::State,
     poison: poison::State,
     requests: request::State,
-    drain: Drain,
+    drain: drain::State,
     ready: bool,
 }
 
@@ -57,7 +44,7 @@
             cache: cache::State::default(),
             poison: poison::State::default(),
             requests: request::State::default(),
-            drain: Drain::No,
+            drain: drain::State::default(),
             ready: false,
         }
     }
@@ -72,7 +59,7 @@
             targets: self.targets.ready_count(now),
             peers: self.peers.live_count(),
             ready: self.ready,
-            draining: self.drain != Drain::No,
+            draining: !self.drain.is_running(),
         }
     }
 
@@ -139,7 +126,7 @@
         if !self.cache.poll_holdings_write(ctx.at) {
             return;
         }
-        let may_write = self.drain == Drain::No && !self.sync.is_store_failing(ctx.at);
+        let may_write = self.drain.is_running() && !self.sync.is_store_failing(ctx.at);
         if !may_write || !self.peers.writes_for_fleet(ctx) {
             return;
         }
@@ -174,7 +161,7 @@
     }
 
     fn handle_request(&mut self, ctx: &Context<'_>, event: request::Event, out: &mut Output) {
-        let leaving = self.leaving(ctx.at);
+        let leaving = self.drain.leaving(ctx.me.bounds.grace, ctx.at);
         let mut view = request::View {
             catalog: self.sync.catalog(),
             freshness: self.sync.freshness(),
@@ -300,8 +287,7 @@
     }
 
     fn handle_drain(&mut self, ctx: &Context<'_>, out: &mut Output) {
-        if self.drain == Drain::No {
-            self.drain = Drain::Draining(ctx.at);
+        if self.drain.start(ctx.at) {
             out.log(Record::new("draining").with("in_flight", self.requests.len()));
             self.sync.leave(out);
         }
@@ -309,7 +295,7 @@
 
     /// Reports a change of readiness, and moves a shutdown to its next phase.
     fn update_lifecycle(&mut self, ctx: &Context<'_>, out: &mut Output) {
-        let ready = self.drain == Drain::No
+        let ready = self.drain.is_running()
             && self.sync.freshness().is_fresh(ctx.at)
             && 0 < self.targets.ready_count(ctx.at);
         if ready != self.ready {
@@ -317,31 +303,9 @@
             out.log(Record::new("ready").with("ready", ready));
             out.push(Effect::SetReady(ready));
         }
-        match self.drain {
-            Drain::Draining(since) => {
-                let idle = DRAIN_SETTLE <= ctx.at.since(since) && self.requests.is_empty();
-                let overdue = ctx.me.bounds.grace - DRAIN_RESERVE <= ctx.at.since(since);
-                if idle || overdue {
-                    self.drain = Drain::Closing(ctx.at);
-                    out.log(Record::new("closing").with("in_flight", self.requests.len()));
-                }
-            }
-            Drain::Closing(since) if DRAIN_FLUSH <= ctx.at.since(since) => {
-                self.drain = Drain::Done;
-                out.log(Record::new("drained").with("in_flight", self.requests.len()));
-                out.push(Effect::Drained);
-            }
-            _ => {}
-        }
-    }
-
-    /// Returns which requests this VM refuses because it shuts down.
-    fn leaving(&self, now: Moment) -> Leaving {
-        match self.drain {
-            Drain::No => Leaving::No,
-            Drain::Draining(since) if now.since(since) < DRAIN_SETTLE => Leaving::No,
-            Drain::Draining(_) => Leaving::RefusesStreams,
-            Drain::Closing(_) | Drain::Done => Leaving::RefusesAll,
+        if self.drain.advance(ctx, self.requests.len(), out) == drain::Step::End {
+            self.requests.end_all(ctx, out);
+            out.push(Effect::Drained);
         }
     }
 }
--- a/crates/gateway/tests/all/drain.rs
+++ b/crates/gateway/tests/all/drain.rs
@@ -1,7 +1,8 @@
 //! Graceful shutdown.
 
 use briarshift_gateway::Kind;
-use briarshift_gateway::request::{Cause, End};
+use briarshift_gateway::request::{Arrival, Cause, End};
+use briarshift_units::Span;
 
 use crate::world::{World, changes, expect_refusal, expect_send};
 
@@ -56,3 +57,44 @@
     }
     assert!(world.drained);
 }
+
+/// Returns a VM whose shutdown a long stream holds up, that was told to stop
+/// `millis` ago.
+fn held_up(millis: u64) -> World {
+    let mut world = stopping(1_000);
+    expect_send(world.arrive("/long/a"));
+    for _ in 0..(millis - 1_000) / 100 {
+        world.advance(100);
+        world.reply_rows(changes(), Ok(Vec::new()));
+        world.tick();
+    }
+    world
+}
+
+/// Bookings that arrived late in a graceful stop, while a stream held it up, ran at
+/// their targets and were cut off without an answer.
+#[test]
+fn a_request_that_may_outlast_the_process_is_refused_as_not_run() {
+    let mut world = held_up(5_500);
+    expect_send(world.arrive("/book/a"));
+    // The grace time is 8 s, and a booking may take 2 s.
+    world.advance(300);
+    assert_eq!(expect_refusal(world.arrive("/book/a")), Cause::Leaving);
+    let short = |arrival: &mut Arrival| arrival.deadline = Some(Span::from_millis(500));
+    expect_send(world.arrive_with("/book/a", short));
+}
+
+/// A request that was still running when the grace time ended was cut off by the end
+/// of the process, and its caller could not tell whether it ran.
+#[test]
+fn a_request_in_flight_at_the_end_of_the_grace_time_is_answered() {
+    let mut world = stopping(2_500);
+    let send = expect_send(world.arrive("/book/a"));
+    while !world.drained {
+        world.advance(100);
+        world.tick();
+    }
+    let (request, decision) = world.decisions.last().unwrap().clone();
+    assert_eq!(request, send.id.request);
+    assert_eq!(expect_refusal(decision), Cause::Unknown);
+}
