Tell peers the newest row of each name that they lack

Ruled out: a wrong confirmation, and a neighbour that drops rows.

Rows carry their creation version. Datagrams have a new version, since rows have a new field.

Tests: delegate::a_row_newer_than_the_snapshot_reaches_peers, the_deletion_of_an_unknown_row_reaches_peers, a_row_that_was_written_again_reaches_peers, a_peer_inside_a_lost_history_is_told_nothing, and the property changes::changes_reach_all_vms_in_time.

--- a/crates/gateway/src/limit.rs
+++ b/crates/gateway/src/limit.rs
@@ -77,8 +77,11 @@
 /// readers before its first heartbeat, which may take one interval of a large
 /// fleet to arrive.
 pub const NEW_PEER_TTL: Span = Span::from_secs(3);
-/// Maximum number of changes that a VM keeps for peers that are behind.
-pub const MAX_KEPT_CHANGES: usize = 1_000;
+/// Maximum number of deleted rows that a VM keeps for peers that are behind.
+pub const MAX_KEPT_DELETIONS: usize = 1_000;
+/// Maximum number of losses of the store's history that a VM keeps apart. Peers that
+/// are further behind read the store.
+pub const MAX_KEPT_GAPS: usize = 8;
 /// Maximum number of rows, or routes, in one datagram of changes. At about a
 /// hundred bytes each they fit; a larger set is better read from the store.
 pub const MAX_DATAGRAM_ROWS: usize = 300;
--- a/crates/gateway/src/sync/journal.rs
+++ b/crates/gateway/src/sync/journal.rs
@@ -1,96 +1,135 @@
-//! The latest known rows, and their recent changes for VMs that request them.
+//! The newest known version of each row, for VMs that request what has changed.
 //!
-//! Targets rewrite their rows regularly; only a row that differs counts as a
-//! change.
+//! A VM that is complete up to version v knows, for each name, the row of version
+//! v or an equal one, or a newer one. So a peer that is complete up to v lacks
+//! exactly the rows that are kept here with a version after v, whichever way and
+//! in whichever order they arrived. Two cases need care:
+//!
+//! - The pages of a snapshot may be newer than the version up to which the snapshot
+//!   is complete. Their rows are kept with their own versions.
+//! - A later snapshot replaces changes that the store has dropped. What was written
+//!   and deleted in between is not known, so peers in that gap are told nothing.
+//!
+//! Targets rewrite their rows regularly; a row counts as changed only if its value
+//! differs, or if it was deleted meanwhile, which shows in its creation version.
 
-use std::collections::{HashMap, HashSet, VecDeque};
+use std::collections::{BTreeSet, HashMap, HashSet};
 
 use briarshift_store::Version;
 use briarshift_store::registry::{Name, Row, Value};
 
-use crate::limit::{MAX_DATAGRAM_ROWS, MAX_KEPT_CHANGES};
+use crate::limit::{MAX_DATAGRAM_ROWS, MAX_KEPT_DELETIONS, MAX_KEPT_GAPS};
 
 #[derive(Debug, Default)]
 pub(super) struct Journal {
-    values: HashMap<Name, Value>,
-    changes: VecDeque<Row>,
-    /// `changes` contains all changes after this version.
+    /// The newest row of each name, deletions included.
+    rows: HashMap<Name, Row>,
+    by_version: BTreeSet<(Version, Name)>,
+    deletions: BTreeSet<(Version, Name)>,
+    /// All rows after this version are kept.
     complete_after: Option<Version>,
+    /// Ranges without their ends: what was deleted after a version in one of them is
+    /// not known.
+    gaps: Vec<(Version, Version)>,
 }
 
 impl Journal {
-    /// Applies rows that are complete up to a version, and returns those that
-    /// changed something. In a snapshot, rows that are missing have been
-    /// deleted, and all rows of the snapshot are returned.
+    /// Applies rows that are complete up to `version`, and returns those that changed
+    /// something. In a snapshot, rows that are missing have been deleted, and all rows
+    /// of the snapshot are returned. `known` is the version up to which this VM was
+    /// complete before.
     pub(super) fn apply(
         &mut self,
         mut rows: Vec<Row>,
         snapshot: bool,
+        known: Option<Version>,
         version: Version,
     ) -> Vec<Row> {
         rows.sort_by_key(|row| row.version);
         if snapshot {
-            self.apply_snapshot(&rows, version);
+            self.record_missing(&rows, version);
+            self.add_gap(known, version);
+            for row in &rows {
+                self.record(row);
+            }
         } else {
-            // Rows are compared one by one, since a row may be deleted and
-            // written again unchanged.
             rows.retain(|row| self.record(row));
         }
-        while MAX_KEPT_CHANGES < self.changes.len() {
-            self.complete_after = self.changes.pop_front().map(|row| row.version);
-        }
+        self.drop_oldest_deletions();
         rows
     }
 
-    /// Applies a snapshot. Its differences are kept as changes for peers, so
-    /// that a store that has dropped its history doesn't make every VM read all
-    /// rows again.
-    fn apply_snapshot(&mut self, rows: &[Row], version: Version) {
+    /// Returns the rows that a peer lacks that is complete up to a version, or `None`
+    /// if they are not known or too many for a datagram.
+    pub(super) fn changes_after(&self, version: Version) -> Option<Vec<Row>> {
+        let is_in_gap = |&(from, to): &(Version, Version)| from < version && version < to;
+        if self.complete_after.is_none_or(|first| version < first)
+            || self.gaps.iter().any(is_in_gap)
+        {
+            return None;
+        }
+        // `Name::Catalog` is the first of all names.
+        let first = (Version(version.0.saturating_add(1)), Name::Catalog);
+        let rows = self.by_version.range(first..).filter_map(|(_, name)| self.rows.get(name));
+        let size: usize = rows.clone().map(datagram_rows).sum();
+        (size <= MAX_DATAGRAM_ROWS).then(|| rows.cloned().collect())
+    }
+
+    /// Records that the known rows that are not in a snapshot have been deleted.
+    fn record_missing(&mut self, rows: &[Row], version: Version) {
+        let named: HashSet<_> = rows.iter().map(|row| &row.name).collect();
+        let is_missing = |row: &&Row| row.value.is_some() && !named.contains(&row.name);
+        let missing: Vec<_> =
+            self.rows.values().filter(is_missing).map(|row| row.name.clone()).collect();
+        for name in missing {
+            self.record(&Row { name, version, created: Version::default(), value: None });
+        }
+    }
+
+    fn add_gap(&mut self, known: Option<Version>, version: Version) {
         if self.complete_after.is_none() {
             self.complete_after = Some(version);
-            let entry = |row: &Row| Some((row.name.clone(), row.value.clone()?));
-            self.values.extend(rows.iter().filter_map(entry));
             return;
         }
-        let named: HashSet<_> = rows.iter().map(|row| &row.name).collect();
-        let mut gone: Vec<_> =
-            self.values.keys().filter(|name| !named.contains(name)).cloned().collect();
-        gone.sort();
-        for row in rows {
-            self.record(row);
-        }
-        for name in gone {
-            self.record(&Row { name, version, value: None });
+        self.gaps.extend(known.map(|known| (known, version)));
+        if MAX_KEPT_GAPS < self.gaps.len() {
+            let (_, end) = self.gaps.remove(0);
+            self.complete_after = self.complete_after.max(Some(end));
         }
     }
 
-    /// Applies one row, and returns true if it changed something. Holdings are
-    /// only read at the start and not passed on.
+    /// Keeps a row, and returns true if it changed something. Holdings are only read at
+    /// the start and not passed on.
     fn record(&mut self, row: &Row) -> bool {
-        if row.name == Name::Holdings {
+        if matches!(row.name, Name::Holdings | Name::Other(_)) {
             return false;
         }
-        if self.values.get(&row.name) == row.value.as_ref() {
-            return false;
+        if let Some(known) = self.rows.get(&row.name) {
+            let is_equal =
+                known.value == row.value && (known.created == row.created || row.value.is_none());
+            if row.version < known.version || is_equal {
+                return false;
+            }
+            let key = (known.version, row.name.clone());
+            self.by_version.remove(&key);
+            self.deletions.remove(&key);
+        }
+        let key = (row.version, row.name.clone());
+        if row.value.is_none() {
+            self.deletions.insert(key.clone());
         }
-        match &row.value {
-            Some(value) => self.values.insert(row.name.clone(), value.clone()),
-            None => self.values.remove(&row.name),
-        };
-        self.changes.push_back(row.clone());
+        self.by_version.insert(key);
+        self.rows.insert(row.name.clone(), row.clone());
         true
     }
 
-    /// Returns the changes after a version, or `None` if some are no longer
-    /// kept or they are too many for a datagram.
-    pub(super) fn changes_after(&self, version: Version) -> Option<Vec<Row>> {
-        if self.complete_after.is_none_or(|first| version < first) {
-            return None;
+    fn drop_oldest_deletions(&mut self) {
+        while MAX_KEPT_DELETIONS < self.deletions.len() {
+            let Some(key) = self.deletions.pop_first() else { return };
+            self.by_version.remove(&key);
+            self.rows.remove(&key.1);
+            self.complete_after = self.complete_after.max(Some(key.0));
         }
-        let rows: Vec<_> =
-            self.changes.iter().filter(|row| version < row.version).cloned().collect();
-        let size: usize = rows.iter().map(datagram_rows).sum();
-        (size <= MAX_DATAGRAM_ROWS).then_some(rows)
     }
 }
 
--- a/crates/gateway/src/sync/mod.rs
+++ b/crates/gateway/src/sync/mod.rs
@@ -462,7 +462,7 @@
         confirmed: Option<Moment>,
         out: &mut Output,
     ) -> Update {
-        let rows = self.journal.apply(rows, snapshot, version);
+        let rows = self.journal.apply(rows, snapshot, self.version, version);
         for row in &rows {
             match (&row.name, &row.value) {
                 (Name::Catalog, Some(Value::Catalog(catalog))) => self.adopt_catalog(catalog, out),
--- a/crates/gateway/src/target/mod.rs
+++ b/crates/gateway/src/target/mod.rs
@@ -132,7 +132,8 @@
         (counted.max(reported), backlog)
     }
 
-    fn is_ready(&self, now: Moment) -> bool {
+    /// Returns true if the target accepts requests, as far as this VM knows.
+    pub fn is_ready(&self, now: Moment) -> bool {
         self.target.status == Status::Ready && self.ended_at.is_none() && !self.has_moved(now)
     }
 
--- a/crates/gateway/tests/all/fleet.rs
+++ b/crates/gateway/tests/all/fleet.rs
@@ -78,6 +78,7 @@
             .map(|(version, (name, value))| Row {
                 name,
                 version: Version(version),
+                created: Version(version),
                 value: Some(value),
             })
             .collect();
--- a/crates/gateway/tests/all/main.rs
+++ b/crates/gateway/tests/all/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the gateway reducer in virtual time.
 
+mod changes;
 mod delegate;
 mod drain;
 mod fleet;
--- a/crates/model/src/store.rs
+++ b/crates/model/src/store.rs
@@ -26,7 +26,7 @@
     /// Writes a row, or deletes it if `value` is `None`.
     pub(crate) fn put(&mut self, name: Name, value: Option<Value>) {
         self.version += 1;
-        self.rows.push(Row { name, version: Version(self.version), value });
+        self.rows.push(Row { name, version: Version(self.version), created: Version(1), value });
     }
 
     /// Executes a call of a gateway.
--- a/crates/store/src/registry.rs
+++ b/crates/store/src/registry.rs
@@ -125,6 +125,9 @@
     pub name: Name,
     /// Version of the row with this value.
     pub version: Version,
+    /// Version at which the row was created. A row that is deleted and written again
+    /// has a later one. Zero if the row was deleted, or if the store does not tell.
+    pub created: Version,
     /// Value of the row; `None` if it was deleted.
     pub value: Option<Value>,
 }
--- a/crates/wire/src/datagram.rs
+++ b/crates/wire/src/datagram.rs
@@ -10,7 +10,7 @@
 use crate::{Error, versioned};
 
 /// Version of the encoding, the first byte of each datagram.
-const VERSION: u8 = 1;
+const VERSION: u8 = 2;
 
 /// The message that a datagram carries.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
