Read the newest configuration when its versions are too long

Cause: a watch returns each version whole, the client reads at most 4 MiB, and a list that is too long was asked for again, longer each time. Ruled out: a slow store (each call is answered at once).

Change: Error::TooLong.

--- a/crates/gateway/src/sync/mod.rs
+++ b/crates/gateway/src/sync/mod.rs
@@ -417,12 +417,13 @@
                 let known = self.version.filter(|_| is_catalog);
                 Some(self.apply_rows(rows, false, known.unwrap_or(version), Some(sent), out))
             }
-            Err(Error::Compacted) => {
+            Err(err @ (Error::Compacted | Error::TooLong)) => {
                 // Until it has read all rows, this VM still responds to its peers
                 // with what it knows, so that they don't read all rows too.
                 self.compacted = true;
                 let version = self.version.unwrap_or_default();
-                out.log(Record::new("store_compacted").with("version", version.0));
+                let line = Record::new("store_compacted").with("version", version.0);
+                out.log(line.with("reason", err));
                 self.next_query_at = ctx.at;
                 None
             }
--- a/crates/gateway/tests/all/delegate.rs
+++ b/crates/gateway/tests/all/delegate.rs
@@ -379,3 +379,13 @@
     assert!(rows_for_peer(&mut world, 30).is_some());
     assert_eq!(rows_for_peer(&mut world, 40), Some(Vec::new()));
 }
+
+/// Changes that were too long to be read were requested again without end.
+#[test]
+fn changes_that_are_too_long_make_a_vm_read_all_rows() {
+    let mut world = World::new(&["t-1"]);
+    world.reply_rows(changes(), Err(Error::TooLong));
+    world.calls.clear();
+    world.tick();
+    assert!(world.calls.contains(&Call::ReadAll { newest: true }), "{:?}", world.calls);
+}
--- a/crates/store/src/registry.rs
+++ b/crates/store/src/registry.rs
@@ -149,8 +149,8 @@
         after: Version,
     },
     /// Reads the rows that have changed; if there are none, waits for the first
-    /// change. Returns [`Reply::Rows`], or [`Error::Compacted`] if the store no
-    /// longer has these changes.
+    /// change. Returns [`Reply::Rows`], [`Error::Compacted`] if the store no longer
+    /// has these changes, or [`Error::TooLong`] if they are too long.
     ReadChanges {
         /// Version after which to look for changes.
         after: Version,
--- a/crates/store/src/store.rs
+++ b/crates/store/src/store.rs
@@ -165,6 +165,10 @@
     /// The store has compacted the requested changes.
     #[error("the store no longer has these changes: read all rows again")]
     Compacted,
+    /// The requested changes are too long to be read. Only the newest of them may be
+    /// needed.
+    #[error("these changes are too long for one response: read all rows again")]
+    TooLong,
     /// The call was rejected, so nothing was written.
     #[error("the platform's service refused the call ({0}): try again later")]
     Refused(SmolStr),
