Count crashes of a target by its starts, not by its id

Cause: a crash was identified by request and target. A runner that keeps its id when it starts again counted once, so two of them never reached the three crashes after which a request is refused. Ruled out: crashes that are not noticed (each has its target_down line).

Change: the target's start number is part of a crash, in the reducer and in what VMs tell each other; without one, a crash counts again after the time in which reports are repeated.

--- a/crates/gateway/src/limit.rs
+++ b/crates/gateway/src/limit.rs
@@ -135,6 +135,9 @@
 pub const CACHE_PRUNE_INTERVAL: Span = Span::from_secs(5);
 /// How long a crash is repeated in heartbeats.
 pub const CRASH_SEND_TIME: Span = Span::from_secs(3);
+/// Time within which reports of a crash of a target that registers no start number count
+/// as one: a peer's last repetition, and its way.
+pub const CRASH_REPEAT_TIME: Span = Span::from_secs(4);
 /// Maximum number of crashes in a heartbeat, so that it fits in a datagram.
 pub const MAX_HEARTBEAT_CRASHES: usize = 16;
 /// Time after its last crash at which a request's crashes are forgotten.
--- a/crates/gateway/src/poison.rs
+++ b/crates/gateway/src/poison.rs
@@ -1,9 +1,10 @@
 //! Requests, and parts of prompts, that crash the targets that run them.
 //!
 //! A request is identified by a hash of its API key, path (with the query) and
-//! body. Each target that crashed while it ran the request counts once,
+//! body. Each start of a target that crashed while it ran the request counts once,
 //! whichever VM noticed it, because VMs exchange crashes in heartbeats. A
-//! request with enough crashes is refused by all VMs.
+//! request with enough crashes is refused by all VMs, even if its pool has fewer
+//! targets than that.
 //!
 //! Parts are found by [`briarshift_routing::blame`]. VMs exchange the crashes and
 //! answers that it judges by in reports of their own, at once.
@@ -18,7 +19,7 @@
 use briarshift_wire::heartbeat::{Crash, TargetHash};
 
 use crate::limit::{
-    CRASH_REPORT_INTERVAL, CRASH_REPORT_REPEATS, CRASH_SEND_TIME, CRASH_TTL,
+    CRASH_REPEAT_TIME, CRASH_REPORT_INTERVAL, CRASH_REPORT_REPEATS, CRASH_SEND_TIME, CRASH_TTL,
     MAX_CRASH_REPORT_ITEMS, MAX_HEARTBEAT_CRASHES, MAX_SUSPECT_PARTS, MAX_SUSPECT_REQUESTS,
     POISON_CRASHES,
 };
@@ -29,7 +30,7 @@
 /// Crashes by request and by part, and those to send to peers.
 #[derive(Debug, Default)]
 pub struct State {
-    crashes: HashMap<Fingerprint, Vec<(TargetHash, Moment)>>,
+    crashes: HashMap<Fingerprint, Vec<Seen>>,
     outgoing: Vec<(Crash, Moment)>,
     ledger: Ledger<TargetHash>,
     /// News for the next reports, each with the number of reports still to contain it.
@@ -37,6 +38,21 @@
     reported_at: Moment,
 }
 
+/// A crash under a request, and when this VM learned of it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct Seen {
+    crash: Crash,
+    at: Moment,
+}
+
+impl Seen {
+    /// Returns true if a crash that is reported now is this one.
+    fn is_same(&self, crash: Crash, now: Moment) -> bool {
+        let is_repeated = crash.start.is_some() || now.since(self.at) < CRASH_REPEAT_TIME;
+        self.crash == crash && is_repeated
+    }
+}
+
 #[derive(Debug, Clone, PartialEq, Eq)]
 enum News {
     Crash(PromptCrash),
@@ -48,15 +64,15 @@
     /// part that has.
     pub fn is_poison(&self, arrival: &Arrival, now: Moment) -> bool {
         let crashes = self.crashes.get(&arrival.fingerprint);
-        crashes.is_some_and(|targets| POISON_CRASHES <= targets.len())
+        crashes.is_some_and(|crashes| POISON_CRASHES <= crashes.len())
             || self.ledger.blocked(&suspect_parts(arrival), now).is_some()
     }
 
     /// Records a target crash that this VM noticed, and reports it to the
     /// peers.
     pub fn record_crash(&mut self, ctx: &Context<'_>, crash: CrashedRequest, out: &mut Output) {
-        let CrashedRequest { request, parts, target } = crash;
-        let crash = Crash { request, target };
+        let CrashedRequest { request, parts, target, start } = crash;
+        let crash = Crash { request, target, start };
         if self.insert(ctx, crash, out) {
             self.outgoing.push((crash, ctx.at));
         }
@@ -118,10 +134,8 @@
     /// Returns all that this VM refuses, for a VM that has just started, if there is
     /// anything.
     pub fn summary(&self, ctx: &Context<'_>) -> Option<Datagram> {
-        let poison = self.crashes.iter().filter(|(_, it)| POISON_CRASHES <= it.len());
-        let crashes = poison.flat_map(|(&request, targets)| {
-            targets.iter().map(move |&(target, _)| Crash { request, target })
-        });
+        let poison = self.crashes.values().filter(|crashes| POISON_CRASHES <= crashes.len());
+        let crashes = poison.flatten().map(|seen| seen.crash);
         let requests: Vec<_> = crashes.take(MAX_CRASH_REPORT_ITEMS).collect();
         let blocked = self.blocked_parts(ctx.at);
         if requests.is_empty() && blocked.is_empty() {
@@ -135,8 +149,8 @@
     /// Removes expired entries, and sends news to the peers.
     pub fn tick(&mut self, ctx: &Context<'_>, peers: &peer::State, out: &mut Output) {
         self.outgoing.retain(|(_, at)| ctx.at.since(*at) < CRASH_SEND_TIME);
-        self.crashes.retain(|_, targets| {
-            targets.last().is_some_and(|(_, at)| ctx.at.since(*at) < CRASH_TTL)
+        self.crashes.retain(|_, crashes| {
+            crashes.last().is_some_and(|seen| ctx.at.since(seen.at) < CRASH_TTL)
         });
         self.ledger.prune(ctx.at);
         if !self.news.is_empty() && CRASH_REPORT_INTERVAL <= ctx.at.since(self.reported_at) {
@@ -181,13 +195,13 @@
             out.log(Record::new("strikes_full").with("fingerprint", crash.request));
             return false;
         }
-        let targets = self.crashes.entry(crash.request).or_default();
-        if targets.iter().any(|(target, _)| *target == crash.target) {
+        let crashes = self.crashes.entry(crash.request).or_default();
+        if crashes.iter().any(|seen| seen.is_same(crash, ctx.at)) {
             return false;
         }
-        targets.push((crash.target, ctx.at));
+        crashes.push(Seen { crash, at: ctx.at });
         let line = Record::new("strike").with("fingerprint", crash.request);
-        out.log(line.with("strikes", targets.len()));
+        out.log(line.with("strikes", crashes.len()));
         true
     }
 }
--- a/crates/gateway/src/target/mod.rs
+++ b/crates/gateway/src/target/mod.rs
@@ -15,7 +15,9 @@
 use briarshift_routing::selection::Candidate;
 use briarshift_store::Version;
 use briarshift_store::registry::{Name, Row, Status, Target, Value};
-use briarshift_units::{DataCentre, Fingerprint, Moment, PartId, PoolId, RequestRate, TargetId};
+use briarshift_units::{
+    DataCentre, Fingerprint, Moment, PartId, PoolId, RequestRate, StartNumber, TargetId,
+};
 use briarshift_wire::heartbeat::{self, Failure, TargetHash};
 
 use crate::limit::{
@@ -65,6 +67,8 @@
     pub parts: Vec<PartId>,
     /// The target.
     pub target: TargetHash,
+    /// Start number of the target's process, if it registers one.
+    pub start: Option<StartNumber>,
 }
 
 /// A target as known to this VM.
@@ -144,12 +148,11 @@
     /// Removes the interrupted requests and returns a crash for each recent
     /// one.
     fn take_crashes(&mut self, now: Moment) -> Vec<CrashedRequest> {
-        let target = self.hash;
+        let (target, start) = (self.hash, self.target.start);
+        let crash =
+            |Interruption { request, parts, .. }| CrashedRequest { request, parts, target, start };
         let interrupted = std::mem::take(&mut self.interrupted).into_iter();
-        let recent = interrupted.filter(|it| now.since(it.at) < CRASH_SUSPICION_TIME);
-        recent
-            .map(|Interruption { request, parts, .. }| CrashedRequest { request, parts, target })
-            .collect()
+        interrupted.filter(|it| now.since(it.at) < CRASH_SUSPICION_TIME).map(crash).collect()
     }
 }
 
--- a/crates/gateway/tests/all/poison.rs
+++ b/crates/gateway/tests/all/poison.rs
@@ -3,8 +3,8 @@
 use briarshift_gateway::Kind;
 use briarshift_gateway::request::{Arrival, Cause, Decision, End, Event};
 use briarshift_routing::selection::Part;
-use briarshift_store::registry::{Name, Value};
-use briarshift_units::{Fingerprint, PartId};
+use briarshift_store::registry::{Name, Target, Value};
+use briarshift_units::{Fingerprint, PartId, StartNumber};
 use briarshift_wire::crash::{PromptCrash, Report};
 use briarshift_wire::datagram::Datagram;
 use briarshift_wire::heartbeat::{Crash, TargetHash};
@@ -45,6 +45,41 @@
     expect_send(world.arrive("/book/a"));
 }
 
+/// A request went on crashing a pool of two targets that kept their ids, because each
+/// target counted once.
+#[test]
+fn a_request_that_crashed_targets_that_keep_their_ids_is_refused() {
+    let mut world = World::new(&["t-1", "t-2"]);
+    let mut start = 1;
+    while let Decision::Send(send) = run_poison(&mut world, false) {
+        start += 1;
+        let Value::Target(again) = target(send.target.as_str(), "desk") else { unreachable!() };
+        let again = Target { start: Some(StartNumber(start)), ..again };
+        world.change_row(Name::Target(send.target), Some(Value::Target(again)));
+        assert!(start < 20);
+    }
+    // The first start of each target has no number.
+    assert_eq!(start - 1, 3);
+}
+
+#[test]
+fn a_crash_that_a_peer_repeats_counts_once() {
+    let mut world = World::new(&["t-1"]);
+    world.change_row(Name::Member("vm-2".parse().unwrap()), Some(member("vm-2")));
+    for step in 0..40 {
+        let start = Some(StartNumber(7));
+        let crash = Crash { request: POISON, target: TargetHash(1), start };
+        let Kind::Datagram(Datagram::Heartbeat(mut heartbeat)) = heartbeat("vm-2", step + 1) else {
+            unreachable!()
+        };
+        heartbeat.crashes = vec![crash, Crash { start: None, ..crash }];
+        world.advance(100);
+        world.apply(Kind::Datagram(Datagram::Heartbeat(heartbeat)));
+    }
+    world.confirm_catalog();
+    expect_send(world.arrive_with("/book/a", |arrival| arrival.fingerprint = POISON));
+}
+
 #[test]
 fn a_lost_answer_alone_is_no_crash() {
     let mut world = World::new(&["t-1", "t-2", "t-3", "t-4"]);
@@ -58,7 +93,7 @@
     let mut world = World::new(&["t-1"]);
     for (index, vm) in ["vm-2", "vm-3", "vm-4"].into_iter().enumerate() {
         world.change_row(Name::Member(vm.parse().unwrap()), Some(member(vm)));
-        let crash = Crash { request: POISON, target: TargetHash(index as u32) };
+        let crash = Crash { request: POISON, target: TargetHash(index as u32), start: None };
         let Kind::Datagram(Datagram::Heartbeat(mut heartbeat)) = heartbeat(vm, 1) else {
             unreachable!()
         };
--- a/crates/wire/src/heartbeat.rs
+++ b/crates/wire/src/heartbeat.rs
@@ -49,6 +49,9 @@
     pub request: Fingerprint,
     /// The target.
     pub target: TargetHash,
+    /// Start number of the target's process that went down, if the target registers
+    /// one. A target may keep its id when it starts again.
+    pub start: Option<StartNumber>,
 }
 
 /// Failures of one target since the sender's last heartbeat.
