Vouch to peers for rows only as of when they were read

The owners' runs of real processes saw requests reach targets that had left (DRAIN).

A second way, found by reading: a VM that has started confirms the configuration before it reads other changes, and its responses vouched for all rows. Peers then did not read the store when their rows were too old. Responses now give the age of the rows apart, and the decision to read the store goes by it.

Each read of changes that changed something is logged with its way (event=changes), which is what the record of these cases lacked.

--- a/crates/gateway/src/sync/mod.rs
+++ b/crates/gateway/src/sync/mod.rs
@@ -62,6 +62,25 @@
     Peer { vm: VmId, at: Moment, max_age: Span },
 }
 
+/// When a VM's rows were known to be complete.
+#[derive(Debug, Clone, Copy, Default)]
+struct RowsAge {
+    /// The time, or that of the call if the rows are a snapshot that may be out of date.
+    at: Option<Moment>,
+    is_certain: bool,
+}
+
+impl RowsAge {
+    fn confirm(&mut self, at: Moment) {
+        *self = Self { at: self.at.max(Some(at)), is_certain: true };
+    }
+
+    /// Returns the time for which this VM vouches to its peers.
+    fn certain(&self) -> Option<Moment> {
+        self.at.filter(|_| self.is_certain)
+    }
+}
+
 /// A peer to query.
 struct Source {
     vm: VmId,
@@ -75,6 +94,9 @@
 pub struct State {
     catalog: Option<Arc<Catalog>>,
     version: Option<Version>,
+    /// When the rows up to `version` were known to be all that there were. Older than
+    /// the confirmation of the configuration if only that was read since.
+    rows: RowsAge,
     freshness: Freshness,
     pace: Pace,
     secret: Option<Secret>,
@@ -112,6 +134,7 @@
         Self {
             catalog: None,
             version: None,
+            rows: RowsAge::default(),
             freshness: Freshness::new(bounds.key_age),
             pace: Pace::new(bounds.change, bounds.key_age),
             secret: None,
@@ -291,7 +314,7 @@
 
     /// Returns true if this VM must not wait for its peers any longer.
     fn must_query_store(&self, ctx: &Context<'_>, ranking: &peer::Ranking) -> bool {
-        let age = self.freshness.confirmed_at().map(|at| ctx.at.since(at));
+        let age = self.rows.at.map(|at| ctx.at.since(at));
         let Some(rank) = ranking.fallback_rank() else {
             let is_stale =
                 self.delegates_stale && !(self.pace.has_readers && ranking.is_delegate());
@@ -320,6 +343,7 @@
             request_sent_at: request.sent_at,
             version: version.0,
             age: ctx.at.since(confirmed),
+            rows_age: self.rows.certain().map(|at| ctx.at.since(at)),
             store_failing: self.is_store_failing(ctx.at),
             rows: self.journal.changes_after(Version(request.after)),
         };
@@ -363,9 +387,16 @@
         // The data was the newest `age` before the response was sent, and the
         // response was sent after the request: counting from the request is on
         // the safe side.
-        let confirmed = Moment(response.request_sent_at.0.saturating_sub(response.age.0));
+        let as_of = |age: Span| Moment(response.request_sent_at.0.saturating_sub(age.0));
+        let confirmed = as_of(response.age);
+        if let Some(age) = response.rows_age {
+            self.rows.confirm(as_of(age));
+        }
         let version = self.version.max(Some(Version(response.version)));
-        Some(self.apply_rows(rows, false, version.unwrap_or_default(), Some(confirmed), out))
+        let version = version.unwrap_or_default();
+        let update = self.apply_rows(rows, false, version, Some(confirmed), out);
+        log_changes(&update, version, response.from.as_str(), response.rows_age, out);
+        Some(update)
     }
 
     /// Applies the store's reply to a call. Returns the rows for the other
@@ -403,6 +434,7 @@
                 // many targets reading all changes takes long and would keep
                 // callers waiting.
                 if snapshot {
+                    self.rows.at = self.rows.at.max(Some(sent));
                     self.next_query_at = ctx.at;
                     self.unconfirmed = true;
                     return Some(self.apply_rows(rows, snapshot, version, None, out));
@@ -414,8 +446,14 @@
                     self.unconfirmed = false;
                     self.next_query_at = sent + DELEGATE_INTERVAL;
                 }
+                if !is_catalog {
+                    self.rows.confirm(sent);
+                }
                 let known = self.version.filter(|_| is_catalog);
-                Some(self.apply_rows(rows, false, known.unwrap_or(version), Some(sent), out))
+                let version = known.unwrap_or(version);
+                let update = self.apply_rows(rows, false, version, Some(sent), out);
+                log_changes(&update, version, "store", Some(ctx.at.since(sent)), out);
+                Some(update)
             }
             Err(err @ (Error::Compacted | Error::TooLong)) => {
                 // Until it has read all rows, this VM still responds to its peers
@@ -508,3 +546,16 @@
         self.catalog = Some(Arc::clone(catalog));
     }
 }
+
+/// Logs by which way changes have reached this VM, and how old they may be.
+fn log_changes(update: &Update, version: Version, from: &str, age: Option<Span>, out: &mut Output) {
+    if update.rows.is_empty() {
+        return;
+    }
+    let line = Record::new("changes").with("from", from).with("version", version.0);
+    let line = line.with("rows", update.rows.len());
+    out.log(match age {
+        Some(age) => line.with("age", age),
+        None => line.with("age", "unknown"),
+    });
+}
--- a/crates/gateway/tests/all/delegate.rs
+++ b/crates/gateway/tests/all/delegate.rs
@@ -59,6 +59,7 @@
         request_sent_at: at,
         version: 12,
         age,
+        rows_age: Some(age),
         store_failing: true,
         rows: Some(Vec::new()),
     }
@@ -99,6 +100,7 @@
             request_sent_at: request.sent_at,
             version: 1_000,
             age: Span::from_millis(400),
+            rows_age: Some(Span::from_millis(400)),
             store_failing: false,
             rows: Some(rows),
         };
@@ -120,6 +122,7 @@
         request_sent_at: request.sent_at,
         version: 5_000,
         age: Span::ZERO,
+        rows_age: Some(Span::ZERO),
         store_failing: false,
         rows: Some(Vec::new()),
     };
@@ -205,6 +208,7 @@
             request_sent_at: request.sent_at,
             version: 1_000,
             age: Span::ZERO,
+            rows_age: Some(Span::ZERO),
             store_failing: true,
             rows: Some(rows),
         };
@@ -241,6 +245,7 @@
                 request_sent_at: at,
                 version: 40,
                 age: Span::from_millis(300),
+                rows_age: Some(Span::from_millis(300)),
                 store_failing: false,
                 rows: Some(Vec::new()),
             };
@@ -259,6 +264,7 @@
             request_sent_at: request.sent_at,
             version: 1_000,
             age: Span::ZERO,
+            rows_age: Some(Span::ZERO),
             store_failing: false,
             rows: None,
         };
@@ -389,3 +395,50 @@
     world.tick();
     assert!(world.calls.contains(&Call::ReadAll { newest: true }), "{:?}", world.calls);
 }
+
+/// A VM that has just started confirms the configuration before it reads what else has
+/// changed. Peers took this for a confirmation of all rows, and knew of a leaving target
+/// too late.
+#[test]
+fn a_peer_that_vouches_only_for_the_configuration_does_not_delay_a_read() {
+    let (mut world, request) = requesting_vm();
+    let (started, mut sequence) = (world.now, 2);
+    let mut sent_at = vec![request.sent_at];
+    while !world.calls.iter().any(|call| matches!(call, Call::ReadChanges { .. })) {
+        for at in std::mem::take(&mut sent_at) {
+            for vm in ["vm-1"].iter().chain(&PEERS) {
+                let response = Response {
+                    from: vm.parse().unwrap(),
+                    request_sent_at: at,
+                    version: 0,
+                    age: Span::ZERO,
+                    rows_age: None,
+                    store_failing: false,
+                    rows: Some(Vec::new()),
+                };
+                world.apply(Kind::Datagram(Datagram::SyncResponse(response)));
+            }
+        }
+        world.datagrams.clear();
+        world.advance(25);
+        sequence += 1;
+        for vm in ["vm-1"].iter().chain(&PEERS) {
+            world.apply(heartbeat(vm, sequence));
+        }
+        world.tick();
+        sent_at = request_times(&world);
+        assert!(world.now.since(started) < Span::from_millis(1_600));
+    }
+}
+
+#[test]
+fn a_vm_that_has_only_read_a_snapshot_vouches_only_for_the_configuration() {
+    let rows_age = |world: &mut World| {
+        rows_for_peer(world, 25);
+        let Some(Datagram::SyncResponse(response)) = world.datagrams.last() else { panic!() };
+        response.rows_age
+    };
+    assert_eq!(rows_age(&mut delegate(Vec::new(), Vec::new())), None);
+    let deletion = target_row("t-1", 28, 0, None);
+    assert_eq!(rows_age(&mut delegate(Vec::new(), vec![deletion])), Some(Span::ZERO));
+}
--- a/crates/wire/src/sync.rs
+++ b/crates/wire/src/sync.rs
@@ -1,10 +1,10 @@
 //! Sync of the platform's store between the VMs of one data centre.
 //!
 //! A few VMs of each data centre read the store's changes; the others request
-//! the changes from them. The response gives the age of the sender's version
-//! at the time of sending. The requester subtracts this age from the time at
-//! which it sent the request, by its own clock, and so gets a time at which
-//! its configuration was certainly the newest, however long the datagrams
+//! the changes from them. The response gives the ages of the sender's configuration
+//! and of its rows at the time of sending. The requester subtracts them from the time
+//! at which it sent the request, by its own clock, and so gets times at which its
+//! configuration and its rows were certainly the newest, however long the datagrams
 //! took.
 
 use briarshift_store::registry::Row;
@@ -31,8 +31,11 @@
     pub request_sent_at: Moment,
     /// The store's version up to which `rows` are complete.
     pub version: u64,
-    /// Time since `version` was known to be the newest.
+    /// Time since the sender's configuration was known to be the newest.
     pub age: Span,
+    /// Time since `version` was known to be the newest. `None` if the sender has read a
+    /// snapshot that may be out of date, and nothing since.
+    pub rows_age: Option<Span>,
     /// True if a call to the store failed recently, at the sender or at a peer
     /// that responded to it, so that rows that are missing from the store now
     /// may reappear.
