Believe a refusal on a kept connection only if it names the attempt

It can happen here in two ways: a refusal without an attempt id was believed on any connection, and a request that went to the same target again could take the refusal of its first send for that of the second.

Change: on a connection that another request has used, an answer counts only if it names the attempt; a request that a target has answered before goes there on a new connection.

--- a/crates/daemon/src/gateway/task.rs
+++ b/crates/daemon/src/gateway/task.rs
@@ -245,7 +245,11 @@
         send: &Send,
         resume_after: Option<SmolStr>,
     ) -> Result<TargetAnswer, FailedAttempt> {
-        let freshness = if send.kind.is_idempotent() { Freshness::Open } else { Freshness::Fresh };
+        let freshness = match send.kind.is_idempotent() {
+            _ if send.is_repeated => Freshness::New,
+            true => Freshness::Open,
+            false => Freshness::Fresh,
+        };
         let ready = self
             .client
             .connect(send.address, freshness, send.max_connections)
@@ -314,10 +318,16 @@
         answer: Response,
         response_headers: &ResponseHeaders,
     ) -> Result<TargetAnswer, End> {
-        let Response { status, headers, mut body } = answer;
+        let Response { status, headers, is_reused, mut body } = answer;
         let attempt = job.arrival.attempt.as_str();
-        if response_headers.attempt.as_deref().is_some_and(|answered| answered != attempt) {
-            return Err(interrupted("the answer names another attempt"));
+        // A target may write an earlier answer once more, also a refusal, while it runs
+        // this request.
+        let is_own = match response_headers.attempt.as_deref() {
+            Some(answered) => answered == attempt,
+            None => !is_reused,
+        };
+        if !is_own {
+            return Err(interrupted("the answer may belong to another attempt"));
         }
         if response_headers.not_executed || status == StatusCode::MISDIRECTED_REQUEST {
             actix_rt::spawn(body.close());
--- a/crates/forward/src/client.rs
+++ b/crates/forward/src/client.rs
@@ -121,6 +121,7 @@
         let (head, body) = response.into_parts();
         connection.set_keep_alive(keep_alive_timeout(&head.headers));
         Ok(Response {
+            is_reused: connection.is_reused(),
             status: head.status,
             headers: head.headers,
             body: Body::new(body, connection),
--- a/crates/forward/src/connection.rs
+++ b/crates/forward/src/connection.rs
@@ -54,6 +54,9 @@
     pub status: StatusCode,
     /// Headers.
     pub headers: HeaderMap,
+    /// True if another request had been sent on the connection before. The target may
+    /// then have written a response to that one once more.
+    pub is_reused: bool,
     /// Body, which may still be arriving.
     pub body: Body,
 }
--- a/crates/forward/src/pool.rs
+++ b/crates/forward/src/pool.rs
@@ -31,6 +31,9 @@
     /// The connection is far from its idle limit, so that the target is not
     /// about to close it. For requests that can't be sent again once written.
     Fresh,
+    /// The connection is new. For requests that the target has answered before: a
+    /// repetition of that answer would name the same attempt.
+    New,
 }
 
 /// Connections to one address.
@@ -52,6 +55,7 @@
         let limit = match freshness {
             Freshness::Open => self.limit,
             Freshness::Fresh => self.limit.mul_f64(FRESH_FRACTION),
+            Freshness::New => return false,
         };
         self.sender.is_ready() && now.duration_since(self.since) < limit
     }
@@ -68,6 +72,8 @@
     /// Longest time for which the connection may be idle.
     limit: Duration,
     sender: Option<SendRequest<Full<Bytes>>>,
+    /// True if another request has been sent on it before.
+    is_reused: bool,
     /// True if dropping this must decrement [`Connections::open`].
     counted: bool,
 }
@@ -77,7 +83,8 @@
     pub fn reserve(pool: &Rc<Pool>, address: SocketAddr) -> Self {
         pool.borrow_mut().entry(address).or_default().open += 1;
         let pool = Rc::downgrade(pool);
-        Self { address, pool, limit: DEFAULT_IDLE_LIMIT, sender: None, counted: true }
+        let limit = DEFAULT_IDLE_LIMIT;
+        Self { address, pool, limit, sender: None, is_reused: false, counted: true }
     }
 
     /// Takes the most recently used idle connection out of the pool, if it is
@@ -96,7 +103,8 @@
         }
         let IdleConnection { sender, limit, .. } = connections.idle.pop()?;
         let pool = Rc::downgrade(pool);
-        Some(Self { address, pool, limit, sender: Some(sender), counted: true })
+        let sender = Some(sender);
+        Some(Self { address, pool, limit, sender, is_reused: true, counted: true })
     }
 
     /// Sets the sender, once the connection is open.
@@ -104,6 +112,11 @@
         self.sender = Some(sender);
     }
 
+    /// Returns true if another request has been sent on the connection before.
+    pub fn is_reused(&self) -> bool {
+        self.is_reused
+    }
+
     pub fn sender(&mut self) -> Option<&mut SendRequest<Full<Bytes>>> {
         self.sender.as_mut()
     }
--- a/crates/gateway/src/request/event.rs
+++ b/crates/gateway/src/request/event.rs
@@ -54,6 +54,9 @@
     pub target: TargetId,
     /// The target's address.
     pub address: SocketAddr,
+    /// The target has answered this request before, which must not be taken for the
+    /// answer to this send.
+    pub is_repeated: bool,
     /// The pool, for logs.
     pub pool: PoolId,
     /// The route's kind, which tells whether a request may be repeated.
--- a/crates/gateway/src/request/state.rs
+++ b/crates/gateway/src/request/state.rs
@@ -254,6 +254,7 @@
         id,
         target: choice.target.clone(),
         address: view.targets.get(&choice.target)?.target.address,
+        is_repeated: pending.tried.contains(&choice.target),
         pool: pending.pool.clone(),
         kind: pending.route.kind,
         deadline: pending.deadline,
