Bound the memory of all answers that are read at the same time

Bytes that are no answer may come without end. Each answer had a limit of 8 MiB, and nothing bounded many of them: the review saw 315 MB with forty.

Change: answers that are read as a whole share 48 MiB. Beyond it, one that holds more than an equal share is broken off, its connection closed and its target marked as for any answer that breaks off; short ones are read to their end. A connection buffers 64 KiB instead of 400.

Test: forward many_answers_without_end_share_a_bound, 200 at once with a short one beside: 1,081 MB without the bound, at most 49 MB with it. The resident memory of a gateway was not measured.

--- a/crates/forward/src/client.rs
+++ b/crates/forward/src/client.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use briarshift_units::Size;
 use bytes::Bytes;
 use http::HeaderMap;
 use http_body_util::Full;
@@ -14,9 +15,13 @@
 use tokio::time::timeout;
 
 use crate::connection::error_chain;
+use crate::memory::Memory;
 use crate::pool::{Connection, Pool};
 use crate::{Body, Failure, Freshness, Request, Response};
 
+/// Most bytes of a connection that are buffered, and longest head of a response.
+const MAX_BUFFER: usize = 64 << 10;
+
 /// Timeouts of connections.
 #[derive(Debug, Clone, Copy)]
 pub struct Options {
@@ -43,6 +48,7 @@
 pub struct Client {
     options: Options,
     pool: Rc<Pool>,
+    memory: Rc<Memory>,
 }
 
 /// An open connection, reserved for one request.
@@ -51,7 +57,7 @@
 impl Client {
     /// Creates a client with the given timeouts.
     pub fn new(options: Options) -> Self {
-        Self { options, pool: Rc::default() }
+        Self { options, pool: Rc::default(), memory: Rc::default() }
     }
 
     /// Returns a connection to a target: an idle one that is fresh enough, or a
@@ -81,7 +87,9 @@
             Err(_) => return Err(Failure::NotSent("opening the connection timed out".into())),
         };
         self.configure(&stream).map_err(|err| Failure::NotSent(error_chain(&err)))?;
-        let handshake = http1::handshake::<_, Full<Bytes>>(TokioIo::new(stream)).await;
+        let mut builder = http1::Builder::new();
+        builder.max_buf_size(MAX_BUFFER);
+        let handshake = builder.handshake::<_, Full<Bytes>>(TokioIo::new(stream)).await;
         let (sender, driver) = handshake.map_err(|err| Failure::NotSent(error_chain(&err)))?;
         tokio::task::spawn_local(async move {
             // The request on this connection, if any, fails by itself.
@@ -124,7 +132,7 @@
             is_reused: connection.is_reused(),
             status: head.status,
             headers: head.headers,
-            body: Body::new(body, connection),
+            body: Body::new(body, connection, &self.memory),
         })
     }
 
@@ -140,6 +148,12 @@
         self.pool.borrow().get(&address).map_or(0, |connections| connections.open)
     }
 
+    /// Returns the size of the answers that are being read as a whole, as far as they
+    /// have been read.
+    pub fn held_bytes(&self) -> Size {
+        Size(self.memory.bytes() as u64)
+    }
+
     fn configure(&self, stream: &TcpStream) -> std::io::Result<()> {
         stream.set_nodelay(true)?;
         socket2::SockRef::from(stream)
--- a/crates/forward/src/connection.rs
+++ b/crates/forward/src/connection.rs
@@ -1,14 +1,16 @@
 //! Requests and responses.
 
+use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http::{HeaderMap, Method, StatusCode};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use smol_str::SmolStr;
 use tokio::time::timeout;
 
+use crate::memory::{Answer, Memory};
 use crate::pool::Connection;
 
 /// Largest body that is read as a whole, in bytes. A target in trouble may send
@@ -66,11 +68,12 @@
 pub struct Body {
     incoming: Incoming,
     connection: Option<Connection>,
+    memory: Rc<Memory>,
 }
 
 impl Body {
-    pub(crate) fn new(incoming: Incoming, connection: Connection) -> Self {
-        Self { incoming, connection: Some(connection) }
+    pub(crate) fn new(incoming: Incoming, connection: Connection, memory: &Rc<Memory>) -> Self {
+        Self { incoming, connection: Some(connection), memory: Rc::clone(memory) }
     }
 
     /// Waits for the next bytes and returns them, or `None` at the end of the
@@ -105,17 +108,20 @@
     ///
     /// # Errors
     ///
-    /// Returns [`Failure::Broken`] if the connection ends before the body does,
-    /// or the body is longer. The connection is then closed.
+    /// Returns [`Failure::Broken`] if the connection ends before the body does, or the
+    /// body is longer, or all bodies that are being read take too much memory and this
+    /// one more than its share. The connection is then closed.
     pub async fn read_to_end(mut self) -> Result<Bytes, Failure> {
-        let mut all = BytesMut::new();
+        let mut answer = Answer::new(&self.memory);
         while let Some(bytes) = self.chunk().await? {
-            if MAX_BODY < all.len() + bytes.len() {
+            if MAX_BODY < answer.len() + bytes.len() {
                 return Err(Failure::Broken(format!("longer than {MAX_BODY} bytes").into()));
             }
-            all.extend_from_slice(&bytes);
+            if !answer.push(&bytes) {
+                return Err(Failure::Broken("too long beside other answers".into()));
+            }
         }
-        Ok(all.freeze())
+        Ok(answer.finish())
     }
 
     /// Reads the rest of a body that nobody needs, so that its connection can be
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -15,6 +15,7 @@
 mod client;
 mod connection;
 mod header;
+mod memory;
 mod pool;
 
 pub mod event;
--- a/crates/forward/tests/all/main.rs
+++ b/crates/forward/tests/all/main.rs
@@ -272,3 +272,57 @@
         assert_eq!(client.open_connections(address), 0);
     });
 }
+
+/// Returns a target that begins an answer without end on each connection.
+async fn endless_targets() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::task::spawn_local(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            tokio::task::spawn_local(async move {
+                let mut request = [0; 1_024];
+                let _ = stream.read(&mut request).await;
+                let _ = stream.write_all(b"HTTP/1.1 200 OK\r\n\r\n").await;
+                while stream.write_all(&[b'x'; 65_536]).await.is_ok() {
+                    tokio::task::yield_now().await;
+                }
+            });
+        }
+    });
+    address
+}
+
+/// Each answer was bounded by itself, and forty answers without end took 315 MB. A short
+/// answer beside them is read.
+#[test]
+fn many_answers_without_end_share_a_bound() {
+    check(&[&[OK]], async |client, address| {
+        let endless = endless_targets().await;
+        let calls = (0..200).map(|_| {
+            let client = client.clone();
+            tokio::task::spawn_local(async move {
+                let ready = client.connect(endless, Freshness::Open, 200).await?;
+                client.send(ready, request()).await?.body.read_to_end().await
+            })
+        });
+        let calls: Vec<_> = calls.collect();
+        let mut most = 0;
+        while !calls.iter().all(tokio::task::JoinHandle::is_finished) {
+            most = most.max(client.held_bytes().0);
+            tokio::task::yield_now().await;
+        }
+        assert!(most <= 49 << 20, "{most} bytes");
+        assert_eq!(call(&client, address).await.unwrap(), "ok");
+        let mut broken = 0;
+        for call in calls {
+            // On a busy machine some connections are not opened in time.
+            match call.await.unwrap() {
+                Err(Failure::Broken(_)) => broken += 1,
+                Err(Failure::NotSent(_)) => {}
+                Ok(body) => panic!("{} bytes", body.len()),
+            }
+        }
+        assert!(40 < broken, "{broken}");
+        assert_eq!(client.held_bytes().0, 0);
+    });
+}
