Keep requests that crash targets for VMs that start

Cause: the store keeps refused parts of prompts for VMs that start, but no requests. Change: it keeps both, and they are written as soon as something is refused instead of at the next turn.

--- a/crates/gateway/src/cache.rs
+++ b/crates/gateway/src/cache.rs
@@ -153,7 +153,7 @@
             engines.entry(engine).or_default().push((prefix, tokens));
         }
         let engines = engines.into_iter().map(|(target, parts)| Placement { target, parts });
-        Holdings { engines: engines.collect(), blocked: Vec::new() }
+        Holdings { engines: engines.collect(), ..Holdings::default() }
     }
 
     fn insert(&mut self, engine: TargetHash, parts: &[(Prefix, u32)], memory: u64, now: Moment) {
--- a/crates/gateway/src/poison.rs
+++ b/crates/gateway/src/poison.rs
@@ -36,6 +36,8 @@
     /// News for the next reports, each with the number of reports still to contain it.
     news: Vec<(News, u8)>,
     reported_at: Moment,
+    /// What is refused has changed since it was last written.
+    is_unsaved: bool,
 }
 
 /// A crash under a request, and when this VM learned of it.
@@ -118,6 +120,31 @@
         }
     }
 
+    /// Restores crashes of requests that a VM had recorded before this one started.
+    pub fn restore(&mut self, ctx: &Context<'_>, crashes: &[Crash], out: &mut Output) {
+        for &crash in crashes {
+            self.insert(ctx, crash, out);
+        }
+        self.is_unsaved = false;
+    }
+
+    /// Returns true if what is refused has changed since this was last called.
+    pub fn take_unsaved(&mut self) -> bool {
+        std::mem::take(&mut self.is_unsaved)
+    }
+
+    /// Returns the crashes of all requests that are refused, up to the maximum of a
+    /// report, and the blocked parts.
+    pub fn refused(&self, now: Moment) -> (Vec<Crash>, Vec<PartId>) {
+        (self.refused_crashes(), self.blocked_parts(now))
+    }
+
+    fn refused_crashes(&self) -> Vec<Crash> {
+        let poison = self.crashes.values().filter(|crashes| POISON_CRASHES <= crashes.len());
+        let crashes = poison.flatten().map(|seen| seen.crash);
+        crashes.take(MAX_CRASH_REPORT_ITEMS).collect()
+    }
+
     /// Blocks a part that `source` reports as blocked.
     pub fn block(&mut self, ctx: &Context<'_>, part: PartId, source: &str, out: &mut Output) {
         if self.ledger.blocked(&[part], ctx.at).is_none() {
@@ -127,16 +154,14 @@
     }
 
     /// Returns the blocked parts, up to the maximum of a report.
-    pub fn blocked_parts(&self, now: Moment) -> Vec<PartId> {
+    fn blocked_parts(&self, now: Moment) -> Vec<PartId> {
         self.ledger.all_blocked(now).into_iter().take(MAX_CRASH_REPORT_ITEMS).collect()
     }
 
     /// Returns all that this VM refuses, for a VM that has just started, if there is
     /// anything.
     pub fn summary(&self, ctx: &Context<'_>) -> Option<Datagram> {
-        let poison = self.crashes.values().filter(|crashes| POISON_CRASHES <= crashes.len());
-        let crashes = poison.flatten().map(|seen| seen.crash);
-        let requests: Vec<_> = crashes.take(MAX_CRASH_REPORT_ITEMS).collect();
+        let requests = self.refused_crashes();
         let blocked = self.blocked_parts(ctx.at);
         if requests.is_empty() && blocked.is_empty() {
             return None;
@@ -149,9 +174,11 @@
     /// Removes expired entries, and sends news to the peers.
     pub fn tick(&mut self, ctx: &Context<'_>, peers: &peer::State, out: &mut Output) {
         self.outgoing.retain(|(_, at)| ctx.at.since(*at) < CRASH_SEND_TIME);
+        let refused = self.refused_crashes().len();
         self.crashes.retain(|_, crashes| {
             crashes.last().is_some_and(|seen| ctx.at.since(seen.at) < CRASH_TTL)
         });
+        self.is_unsaved |= self.refused_crashes().len() != refused;
         self.ledger.prune(ctx.at);
         if !self.news.is_empty() && CRASH_REPORT_INTERVAL <= ctx.at.since(self.reported_at) {
             self.reported_at = ctx.at;
@@ -184,6 +211,7 @@
         let Some(part) = self.ledger.record_crash(&crash.parts, crash.target, ctx.at) else {
             return;
         };
+        self.is_unsaved = true;
         let crashes = self.ledger.crashes(part);
         let line = Record::new("part_blocked").with("part", part).with("by", &ctx.me.vm);
         out.log(line.with("crashes", crashes));
@@ -200,6 +228,7 @@
             return false;
         }
         crashes.push(Seen { crash, at: ctx.at });
+        self.is_unsaved |= POISON_CRASHES <= crashes.len();
         let line = Record::new("strike").with("fingerprint", crash.request);
         out.log(line.with("strikes", crashes.len()));
         true
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -124,15 +124,18 @@
     /// Writes what engines hold, and what crashes them, for VMs that start, if this VM
     /// writes for the fleet.
     fn write_holdings(&mut self, ctx: &Context<'_>, out: &mut Output) {
-        if !self.cache.poll_holdings_write(ctx.at) {
+        // What is refused is written at once: all VMs may be lost before the next turn. If
+        // the VM that writes is lost, another one does so at its next turn.
+        let is_due = self.cache.poll_holdings_write(ctx.at) | self.poison.take_unsaved();
+        if !is_due {
             return;
         }
         let may_write = self.drain.is_running() && !self.sync.is_store_failing(ctx.at);
         if !may_write || !self.peers.writes_for_fleet(ctx) {
             return;
         }
-        let blocked = self.poison.blocked_parts(ctx.at);
-        match (Holdings { blocked, ..self.cache.holdings(ctx.at) }).encode() {
+        let (crashes, blocked) = self.poison.refused(ctx.at);
+        match (Holdings { blocked, crashes, ..self.cache.holdings(ctx.at) }).encode() {
             Ok(holdings) => out.call(Call::WriteHoldings { holdings }, "writer"),
             Err(err) => out.log(Record::new("holdings_not_written").with("reason", err)),
         }
@@ -154,6 +157,7 @@
                     for &part in &holdings.blocked {
                         self.poison.block(ctx, part, "holdings", out);
                     }
+                    self.poison.restore(ctx, &holdings.crashes, out);
                     out.log(line.with("engines", holdings.engines.len()).with("parts", parts));
                 }
                 Err(err) => out.log(line.with("unusable", err)),
--- a/crates/gateway/tests/all/poison.rs
+++ b/crates/gateway/tests/all/poison.rs
@@ -3,7 +3,7 @@
 use briarshift_gateway::Kind;
 use briarshift_gateway::request::{Arrival, Cause, Decision, End, Event};
 use briarshift_routing::selection::Part;
-use briarshift_store::registry::{Name, Target, Value};
+use briarshift_store::registry::{Call, Name, Target, Value};
 use briarshift_units::{Fingerprint, PartId, StartNumber};
 use briarshift_wire::crash::{PromptCrash, Report};
 use briarshift_wire::datagram::Datagram;
@@ -260,3 +260,22 @@
     assert_eq!(expect_refusal(refused), Cause::Poison);
     expect_send(arrive_with_parts(&mut started, &[FIRST_PART, 7], 102));
 }
+
+/// All VMs were killed at once, and a request crashed three targets again.
+#[test]
+fn a_vm_that_starts_without_peers_restores_which_requests_are_refused() {
+    let mut before = World::new(&["t-1", "t-2", "t-3", "t-4"]);
+    while let Decision::Send(_) = run_poison(&mut before, false) {}
+    before.calls.clear();
+    before.tick();
+    let holdings = before.calls.iter().find_map(|call| match call {
+        Call::WriteHoldings { holdings } => Some(holdings.clone()),
+        _ => None,
+    });
+
+    let mut started = World::empty("vm-1");
+    started.tick();
+    started.read_with(&["t-1"], Name::Holdings, Value::Holdings(holdings.unwrap()));
+    assert_eq!(expect_refusal(run_poison(&mut started, false)), Cause::Poison);
+    expect_send(started.arrive("/book/a"));
+}
--- a/crates/wire/src/holding.rs
+++ b/crates/wire/src/holding.rs
@@ -1,5 +1,5 @@
-//! The prompt parts that engines have cached, and those that crash engines, stored for
-//! VMs that start.
+//! The prompt parts that engines have cached, and the parts and requests that crash
+//! targets, stored for VMs that start.
 //!
 //! One VM writes them to the platform's store every few seconds. A VM that
 //! starts reads them, because engines keep their caches when VMs are lost.
@@ -7,11 +7,11 @@
 use briarshift_units::PartId;
 use serde::{Deserialize, Serialize};
 
-use crate::heartbeat::Placement;
+use crate::heartbeat::{Crash, Placement};
 use crate::{Error, versioned};
 
 /// Version of the encoding, the first byte of the stored value.
-const VERSION: u8 = 2;
+const VERSION: u8 = 3;
 
 /// The prompt parts that the writer believed to be cached at each engine.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -20,6 +20,8 @@
     pub engines: Vec<Placement>,
     /// Parts that crash engines. Prompts with them are refused.
     pub blocked: Vec<PartId>,
+    /// Crashes of requests that are refused because of them.
+    pub crashes: Vec<Crash>,
 }
 
 impl Holdings {
