--- a/crates/gateway/tests/all/drain.rs
+++ b/crates/gateway/tests/all/drain.rs
@@ -1,8 +1,11 @@
 //! Graceful shutdown.
 
 use briarshift_gateway::Kind;
-use briarshift_gateway::request::{Arrival, Cause, End};
+use briarshift_gateway::limit::{DRAIN_RESERVE, DRAIN_SETTLE};
+use briarshift_gateway::request::{Arrival, Cause, Decision, End};
 use briarshift_units::Span;
+use proptest::prelude::prop;
+use proptest::proptest;
 
 use crate::world::{World, changes, expect_refusal, expect_send};
 
@@ -98,3 +101,34 @@
     assert_eq!(request, send.id.request);
     assert_eq!(expect_refusal(decision), Cause::Unknown);
 }
+
+proptest! {
+    /// Whatever a stop is held up by, a request that is accepted once callers have
+    /// noticed it ends by its deadline before the last answers are sent.
+    #[test]
+    fn an_accepted_request_ends_before_the_process(
+        pause in 0..90_u64,
+        deadlines in prop::collection::vec(50..15_000_u64, 1..8),
+    ) {
+        let mut world = World::new(&["t-1"]);
+        world.apply(Kind::Drain);
+        let stop = world.now;
+        expect_send(world.arrive("/long/a"));
+        for deadline in deadlines {
+            for _ in 0..pause {
+                world.advance(25);
+                world.reply_rows(changes(), Ok(Vec::new()));
+                world.tick();
+            }
+            let since = world.now.since(stop);
+            let change = |it: &mut Arrival| it.deadline = Some(Span::from_millis(deadline));
+            let Decision::Send(send) = world.arrive_with("/book/a", change) else { continue };
+            assert!(!world.drained);
+            let is_settled = DRAIN_SETTLE <= since;
+            assert!(!is_settled || send.deadline <= stop + (GRACE - DRAIN_RESERVE), "{since}");
+        }
+    }
+}
+
+/// Longest duration of a stop in [`World`].
+const GRACE: Span = Span::from_secs(8);
