Use a target that may return only if the pool has no other, in time

Cause: a VM was told that some VM's call to the store had failed, so that the deletion might be a lapse. Such targets are used if there are no others. A retry went to one because all others had been tried, and its 1.5 s counted from the news, which was 0.7 s old. Ruled out: late news (0.7 s).

Change: "no others" means none in the pool. The last use counts from the rows before the change, unless they were older than the bound, which shows that the store was away from this VM.

Tests: target::a_retry_does_not_go_to_a_target_that_was_lost_while_the_ store_fails and the_last_use_of_a_lost_target_counts_from_the_rows_before failed before.

--- a/crates/gateway/src/sync/mod.rs
+++ b/crates/gateway/src/sync/mod.rs
@@ -52,6 +52,9 @@
     pub rows: Vec<Row>,
     /// The rows are a snapshot: rows that are missing have been deleted.
     pub snapshot: bool,
+    /// When the rows before these were known to be all that there were. They changed
+    /// later than that.
+    pub changed_after: Option<Moment>,
 }
 
 /// The query that is waiting for its reply.
@@ -387,6 +390,7 @@
         // The data was the newest `age` before the response was sent, and the
         // response was sent after the request: counting from the request is on
         // the safe side.
+        let changed_after = self.rows.at;
         let as_of = |age: Span| Moment(response.request_sent_at.0.saturating_sub(age.0));
         let confirmed = as_of(response.age);
         if let Some(age) = response.rows_age {
@@ -394,7 +398,8 @@
         }
         let version = self.version.max(Some(Version(response.version)));
         let version = version.unwrap_or_default();
-        let update = self.apply_rows(rows, false, version, Some(confirmed), out);
+        let rows = self.apply_rows(rows, false, version, Some(confirmed), out);
+        let update = Update { rows, snapshot: false, changed_after };
         log_changes(&update, version, response.from.as_str(), response.rows_age, out);
         Some(update)
     }
@@ -433,11 +438,13 @@
                 // asks only whether the configuration has changed, since with
                 // many targets reading all changes takes long and would keep
                 // callers waiting.
+                let changed_after = self.rows.at;
                 if snapshot {
                     self.rows.at = self.rows.at.max(Some(sent));
                     self.next_query_at = ctx.at;
                     self.unconfirmed = true;
-                    return Some(self.apply_rows(rows, snapshot, version, None, out));
+                    let rows = self.apply_rows(rows, snapshot, version, None, out);
+                    return Some(Update { rows, snapshot, changed_after });
                 }
                 let is_catalog = matches!(call, Call::ReadCatalog { .. });
                 if is_catalog {
@@ -451,7 +458,8 @@
                 }
                 let known = self.version.filter(|_| is_catalog);
                 let version = known.unwrap_or(version);
-                let update = self.apply_rows(rows, false, version, Some(sent), out);
+                let rows = self.apply_rows(rows, false, version, Some(sent), out);
+                let update = Update { rows, snapshot, changed_after };
                 log_changes(&update, version, "store", Some(ctx.at.since(sent)), out);
                 Some(update)
             }
@@ -500,7 +508,7 @@
         version: Version,
         confirmed: Option<Moment>,
         out: &mut Output,
-    ) -> Update {
+    ) -> Vec<Row> {
         let rows = self.journal.apply(rows, snapshot, self.version, version);
         for row in &rows {
             match (&row.name, &row.value) {
@@ -524,7 +532,7 @@
             self.freshness.confirm(confirmed);
             self.unconfirmed = false;
         }
-        Update { rows, snapshot }
+        rows
     }
 
     fn adopt_catalog(&mut self, catalog: &Arc<Catalog>, out: &mut Output) {
--- a/crates/gateway/src/target/mod.rs
+++ b/crates/gateway/src/target/mod.rs
@@ -240,13 +240,14 @@
         out: &mut Output,
     ) -> Vec<CrashedRequest> {
         let mut crashes = Vec::new();
+        let ended_at = store_failing.then(|| earliest_end(ctx, update));
         if update.snapshot {
             let is_listed =
                 |id: &TargetId| update.rows.iter().any(|row| row.name == Name::Target(id.clone()));
             let unlisted: Vec<_> =
                 self.entries.keys().filter(|id| !is_listed(id)).cloned().collect();
             for id in unlisted {
-                self.remove(ctx, &id, store_failing, out, &mut crashes);
+                self.remove(ctx, &id, ended_at, out, &mut crashes);
             }
         }
         for row in &update.rows {
@@ -258,7 +259,7 @@
                 _ => {
                     let known = self.entries.get(id).map(|entry| entry.version);
                     if known.is_some_and(|known| known < row.version) {
-                        self.remove(ctx, id, store_failing, out, &mut crashes);
+                        self.remove(ctx, id, ended_at, out, &mut crashes);
                     }
                 }
             }
@@ -311,18 +312,20 @@
         entry.moved_at = None;
     }
 
+    /// Removes a target, or marks its registration as ended at a time at which the store
+    /// was failing, since it may return.
     fn remove(
         &mut self,
         ctx: &Context<'_>,
         id: &TargetId,
-        store_failing: bool,
+        ended_at: Option<Moment>,
         out: &mut Output,
         crashes: &mut Vec<CrashedRequest>,
     ) {
         let Some(entry) = self.entries.get_mut(id) else { return };
-        if store_failing {
+        if ended_at.is_some() {
             if entry.ended_at.is_none() {
-                entry.ended_at = Some(ctx.at);
+                entry.ended_at = ended_at;
                 out.log(Record::new("target_unsure").with("target", id));
             }
             return;
@@ -364,7 +367,8 @@
     /// Returns the targets of a pool that may get a request, except those in
     /// `tried` and those that a limit or a pause holds back. Targets whose registration
     /// ended while the store was failing, and those that have just begun to leave, are
-    /// returned only if there are no others.
+    /// returned only if the pool has no others, even if these have been tried or are held
+    /// back.
     pub fn candidates<'a>(
         &'a self,
         query: &Query<'_>,
@@ -376,13 +380,13 @@
             entry.target.pool == *pool && !tried.contains(id) && entry.is_permitted(query)
         };
         let candidate = |(id, entry): (&'a TargetId, &'a Entry)| self.candidate(query, id, entry);
-        let all = self.entries.iter().filter(of_pool);
-        let ready: Vec<_> =
-            all.clone().filter(|(_, entry)| entry.is_ready(now)).map(candidate).collect();
-        if !ready.is_empty() {
-            return ready;
-        }
-        all.filter(|(_, entry)| entry.is_last_resort(now)).map(candidate).collect()
+        let is_ready = |entry: &Entry| entry.target.pool == *pool && entry.is_ready(now);
+        let has_ready = self.entries.values().any(is_ready);
+        let is_usable = |(_, entry): &(&TargetId, &Entry)| match has_ready {
+            true => entry.is_ready(now),
+            false => entry.is_last_resort(now),
+        };
+        self.entries.iter().filter(of_pool).filter(is_usable).map(candidate).collect()
     }
 
     fn candidate<'a>(
@@ -535,6 +539,15 @@
     }
 }
 
+/// Returns when registrations that an update lacks ended at the earliest. Counted from
+/// then, their targets are no longer used within the bound on leaving targets, whoever
+/// lost the store. Data that was older than the bound shows that the store was away from
+/// this VM; what lapsed meanwhile returns soon after it does.
+fn earliest_end(ctx: &Context<'_>, update: &Update) -> Moment {
+    let recent = update.changed_after.filter(|at| ctx.at.since(*at) < ctx.me.bounds.change);
+    recent.unwrap_or(ctx.at)
+}
+
 fn registration_record(id: &TargetId, target: &Target, version: Version) -> Record {
     let status = match target.status {
         Status::Ready => "ready",
