Count the last use of a target by who has lost the store

Cause: the age of the rows does not tell an outage from a failure of a peer. Change: a failed call of this VM itself does. Then the target may return, and its last use counts from the news; if only a peer has lost the store, it counts from the rows before.

Tests: delegate::the_last_use_of_a_target_counts_from_the_rows_before_if_a_ peer_lost_the_store fails when it counts from the news; the test of the outage passes again.

--- a/crates/gateway/src/sync/mod.rs
+++ b/crates/gateway/src/sync/mod.rs
@@ -55,6 +55,8 @@
     /// When the rows before these were known to be all that there were. They changed
     /// later than that.
     pub changed_after: Option<Moment>,
+    /// A call of this VM itself to the store failed recently.
+    pub has_store_failed: bool,
 }
 
 /// The query that is waiting for its reply.
@@ -125,6 +127,8 @@
     failed_readers: BTreeMap<VmId, Moment>,
     /// When a call to the store last failed, here or on a peer that replied.
     failure_seen_at: Option<Moment>,
+    /// When a call of this VM itself last failed.
+    own_failure_at: Option<Moment>,
     /// When this VM's latest read of the store failed; `None` if it succeeded.
     store_failed_at: Option<Moment>,
     failure_logged_at: Option<Moment>,
@@ -152,6 +156,7 @@
             failed_delegate: None,
             failed_readers: BTreeMap::new(),
             failure_seen_at: None,
+            own_failure_at: None,
             store_failed_at: None,
             failure_logged_at: None,
         }
@@ -399,7 +404,7 @@
         let version = self.version.max(Some(Version(response.version)));
         let version = version.unwrap_or_default();
         let rows = self.apply_rows(rows, false, version, Some(confirmed), out);
-        let update = Update { rows, snapshot: false, changed_after };
+        let update = self.update(ctx, rows, false, changed_after);
         log_changes(&update, version, response.from.as_str(), response.rows_age, out);
         Some(update)
     }
@@ -444,7 +449,7 @@
                     self.next_query_at = ctx.at;
                     self.unconfirmed = true;
                     let rows = self.apply_rows(rows, snapshot, version, None, out);
-                    return Some(Update { rows, snapshot, changed_after });
+                    return Some(self.update(ctx, rows, true, changed_after));
                 }
                 let is_catalog = matches!(call, Call::ReadCatalog { .. });
                 if is_catalog {
@@ -459,7 +464,7 @@
                 let known = self.version.filter(|_| is_catalog);
                 let version = known.unwrap_or(version);
                 let rows = self.apply_rows(rows, false, version, Some(sent), out);
-                let update = Update { rows, snapshot, changed_after };
+                let update = self.update(ctx, rows, false, changed_after);
                 log_changes(&update, version, "store", Some(ctx.at.since(sent)), out);
                 Some(update)
             }
@@ -477,6 +482,18 @@
         }
     }
 
+    fn update(
+        &self,
+        ctx: &Context<'_>,
+        rows: Vec<Row>,
+        snapshot: bool,
+        changed_after: Option<Moment>,
+    ) -> Update {
+        let is_recent = |at: Moment| ctx.at.since(at) < STORE_FAILURE_WINDOW;
+        let has_store_failed = self.own_failure_at.is_some_and(is_recent);
+        Update { rows, snapshot, changed_after, has_store_failed }
+    }
+
     /// Logs when the store starts to fail and when it is back.
     fn log_store_health(
         &mut self,
@@ -492,6 +509,7 @@
             return;
         };
         self.failure_seen_at = Some(ctx.at);
+        self.own_failure_at = Some(ctx.at);
         if self.failure_logged_at.is_some_and(|at| ctx.at.since(at) < FAILURE_LOG_INTERVAL) {
             return;
         }
--- a/crates/gateway/src/target/mod.rs
+++ b/crates/gateway/src/target/mod.rs
@@ -539,13 +539,13 @@
     }
 }
 
-/// Returns when registrations that an update lacks ended at the earliest. Counted from
-/// then, their targets are no longer used within the bound on leaving targets, whoever
-/// lost the store. Data that was older than the bound shows that the store was away from
-/// this VM; what lapsed meanwhile returns soon after it does.
+/// Returns since when the targets of registrations that an update lacks are used for the
+/// last time. If this VM itself has lost the store, they may have lapsed, and return soon.
+/// If only a peer has, they may have been deleted right after the rows before: counted
+/// from then, their last use ends within the bound on leaving targets.
 fn earliest_end(ctx: &Context<'_>, update: &Update) -> Moment {
-    let recent = update.changed_after.filter(|at| ctx.at.since(*at) < ctx.me.bounds.change);
-    recent.unwrap_or(ctx.at)
+    let deleted_after = update.changed_after.filter(|_| !update.has_store_failed);
+    deleted_after.unwrap_or(ctx.at)
 }
 
 fn registration_record(id: &TargetId, target: &Target, version: Version) -> Record {
--- a/crates/gateway/tests/all/delegate.rs
+++ b/crates/gateway/tests/all/delegate.rs
@@ -219,6 +219,30 @@
     assert_eq!(world.state.targets().ready_count(world.now), 1);
 }
 
+/// A target whose row is deleted while only a peer has lost the store may have left right
+/// after the rows before. Its last use counted from the news, too late for the bound.
+#[test]
+fn the_last_use_of_a_target_counts_from_the_rows_before_if_a_peer_lost_the_store() {
+    let (mut world, request) = requesting_vm();
+    for vm in ["vm-1"].iter().chain(&PEERS) {
+        let response = Response {
+            from: vm.parse().unwrap(),
+            request_sent_at: request.sent_at,
+            version: 1_000,
+            age: Span::ZERO,
+            rows_age: Some(Span::ZERO),
+            store_failing: true,
+            rows: Some(vec![target_row("t-1", 900, 0, None)]),
+        };
+        world.apply(Kind::Datagram(Datagram::SyncResponse(response)));
+    }
+    // The rows before were read 0.9 s ago.
+    expect_send(world.arrive("/safe/a"));
+    world.advance(600);
+    world.tick();
+    assert_eq!(expect_refusal(world.arrive("/safe/a")), Cause::NoTarget);
+}
+
 /// The store turns this VM away, but serves one in another data centre.
 #[test]
 fn a_vm_that_reaches_the_store_confirms_for_one_that_does_not() {
