Vouch for rows that a peer completed as of what that peer says

Change: it does not count once a certain time is known.

Test: delegate::rows_completed_by_a_peer_are_as_old_as_that_peer_says failed before (0.90 s for 0.95).

--- a/crates/gateway/src/sync/mod.rs
+++ b/crates/gateway/src/sync/mod.rs
@@ -76,8 +76,10 @@
 }
 
 impl RowsAge {
+    /// Records that the rows were complete at a time. The time of an uncertain snapshot
+    /// does not count any more.
     fn confirm(&mut self, at: Moment) {
-        *self = Self { at: self.at.max(Some(at)), is_certain: true };
+        *self = Self { at: self.certain().max(Some(at)), is_certain: true };
     }
 
     /// Returns the time for which this VM vouches to its peers.
--- a/crates/gateway/tests/all/delegate.rs
+++ b/crates/gateway/tests/all/delegate.rs
@@ -455,6 +455,37 @@
     }
 }
 
+/// A VM whose rows were a snapshot that may be out of date, and that a peer completed as of
+/// an earlier time, vouched for them as of its snapshot.
+#[test]
+fn rows_completed_by_a_peer_are_as_old_as_that_peer_says() {
+    let mut world = delegate(Vec::new(), Vec::new());
+    world.apply(heartbeat("vm-2", 1));
+    // The store fails this VM, so that it queries the peer.
+    world.advance(500);
+    world.reply_rows(changes(), Err(Error::Refused("503".into())));
+    let Kind::Datagram(Datagram::Heartbeat(mut fresh)) = heartbeat("vm-2", 2) else {
+        unreachable!()
+    };
+    fresh.revision_age = Some(Span::ZERO);
+    world.apply(Kind::Datagram(Datagram::Heartbeat(fresh)));
+    world.advance(400);
+    world.tick();
+    let response = Response {
+        from: "vm-2".parse().unwrap(),
+        request_sent_at: *request_times(&world).last().unwrap(),
+        version: 20,
+        age: Span::ZERO,
+        rows_age: Some(Span::from_millis(950)),
+        store_failing: false,
+        rows: Some(Vec::new()),
+    };
+    world.apply(Kind::Datagram(Datagram::SyncResponse(response)));
+    rows_for_peer(&mut world, 25);
+    let Some(Datagram::SyncResponse(response)) = world.datagrams.last() else { panic!() };
+    assert_eq!(response.rows_age, Some(Span::from_millis(950)));
+}
+
 #[test]
 fn a_vm_that_has_only_read_a_snapshot_vouches_only_for_the_configuration() {
     let rows_age = |world: &mut World| {
