Serve repeated news, lapsed rows and last decisions by one piece each

- Crashes and leaving targets are told to peers at the same interval and the same number of times by two copies of one mechanism: peer::News.
- Whether missing rows may return was decided in two places, from three values that the top state carried over: sync decides, Update::lapsed_at.
- The worker's loop over decisions is flat again; the last decision has one place (Worker::conclude), during an attempt and after it.
- Each tick collected the refused requests twice to see whether their number had changed; it now notices when one expires.
- A pause is left out of a target's health where its ends are recorded.
Tests of delegates and stops share their loops; their assertions stay, but for row.is_some(), which was always true: the revision in force is asserted in its place.

--- a/crates/daemon/src/gateway/task.rs
+++ b/crates/daemon/src/gateway/task.rs
@@ -135,57 +135,62 @@
         this.control.do_send(Arrived { arrival: job.arrival.clone(), decisions: sender });
         let job = Rc::new(job);
         let mut failed_answer = None;
-        let mut next = decisions.recv().await;
-        while let Some(decision) = next.take() {
-            match decision {
-                Decision::Send(send) => {
-                    let answered = tokio::select! {
-                        biased;
-                        answered = Self::attempt_to_end(this, &job, &send, &guard) => answered,
-                        // The process ends before the attempt does.
-                        decision = decisions.recv() => {
-                            next = decision;
-                            continue;
-                        }
-                    };
-                    match answered {
-                        Ok(TargetAnswer::Stream { head, first, body, splitter, report }) => {
-                            this.notify(Event::AnswerBegan { id: send.id, report });
-                            let close = this.shared.is_draining();
-                            let stream = (send, body, splitter);
-                            let relay = Relay::new(Rc::clone(this), job, guard, decisions, stream);
-                            return response::from_target(&head, close)
-                                .streaming(relay.stream(first));
-                        }
-                        Ok(TargetAnswer::Complete { head, body, report }) if head.status < 500 => {
-                            guard.disarm();
-                            this.report_end(send.id, End::Complete { ok: true }, report);
-                            return response::from_target(&head, this.shared.is_draining())
-                                .body(body);
-                        }
-                        Ok(TargetAnswer::Complete { head, body, report }) => {
-                            this.report_end(send.id, End::Failed { status: head.status }, report);
-                            failed_answer = Some((head, body));
-                        }
-                        Err(FailedAttempt { end, report }) => this.report_end(send.id, end, report),
-                    }
+        while let Some(decision) = decisions.recv().await {
+            let Decision::Send(send) = decision else {
+                return this.conclude(Some(decision), failed_answer, &guard);
+            };
+            let answered = tokio::select! {
+                biased;
+                answered = Self::attempt_to_end(this, &job, &send, &guard) => answered,
+                // The process ends before the attempt does.
+                decision = decisions.recv() => {
+                    return this.conclude(decision, failed_answer, &guard);
+                }
+            };
+            match answered {
+                Ok(TargetAnswer::Stream { head, first, body, splitter, report }) => {
+                    this.notify(Event::AnswerBegan { id: send.id, report });
+                    let close = this.shared.is_draining();
+                    let stream = (send, body, splitter);
+                    let relay = Relay::new(Rc::clone(this), job, guard, decisions, stream);
+                    return response::from_target(&head, close).streaming(relay.stream(first));
                 }
-                Decision::Deliver => {
+                Ok(TargetAnswer::Complete { head, body, report }) if head.status < 500 => {
                     guard.disarm();
-                    let Some((head, body)) = failed_answer else { break };
+                    this.report_end(send.id, End::Complete { ok: true }, report);
                     return response::from_target(&head, this.shared.is_draining()).body(body);
                 }
-                Decision::Refuse(refusal) => {
-                    guard.disarm();
-                    return this.refuse(&refusal);
+                Ok(TargetAnswer::Complete { head, body, report }) => {
+                    this.report_end(send.id, End::Failed { status: head.status }, report);
+                    failed_answer = Some((head, body));
                 }
+                Err(FailedAttempt { end, report }) => this.report_end(send.id, end, report),
             }
-            next = decisions.recv().await;
         }
+        this.conclude(None, failed_answer, &guard)
+    }
+
+    /// Returns the response for the last decision on a request, `None` if the control
+    /// thread has stopped.
+    fn conclude(
+        &self,
+        decision: Option<Decision>,
+        failed_answer: Option<(Head, Bytes)>,
+        guard: &CallerGuard,
+    ) -> HttpResponse {
         guard.disarm();
-        let (error, remedy) =
-            ("stopping", "this VM is stopping: check whether the request ran before you repeat it");
-        response::error(actix_web::http::StatusCode::BAD_GATEWAY, error, remedy, true)
+        match (decision, failed_answer) {
+            (Some(Decision::Refuse(refusal)), _) => self.refuse(&refusal),
+            (Some(Decision::Deliver), Some((head, body))) => {
+                response::from_target(&head, self.shared.is_draining()).body(body)
+            }
+            _ => {
+                let remedy =
+                    "this VM is stopping: check whether the request ran before you repeat it";
+                let status = actix_web::http::StatusCode::BAD_GATEWAY;
+                response::error(status, "stopping", remedy, true)
+            }
+        }
     }
 
     /// Reports to the control thread how a send ended.
@@ -275,14 +280,12 @@
         if let Some(header) = response_headers.malformed {
             log::info!("event=bad_header target={} header={header} use=ignored", send.target);
         }
-        let is_own = is_own(job, &answer, &response_headers);
+        if !is_own(job, &answer, &response_headers) {
+            return Err(interrupted("the answer may belong to another attempt").into());
+        }
         // Another target at the address reports about itself.
         let is_moved = answer.status == StatusCode::MISDIRECTED_REQUEST;
-        let report = (is_own && !is_moved).then(|| report(answer.status, &response_headers));
-        if !is_own {
-            let end = interrupted("the answer may belong to another attempt");
-            return Err(FailedAttempt { end, report });
-        }
+        let report = (!is_moved).then(|| report(answer.status, &response_headers));
         let read = self.read_answer(send, answer, &response_headers).await;
         match read {
             Ok(mut answered) => {
--- a/crates/gateway/src/limit.rs
+++ b/crates/gateway/src/limit.rs
@@ -148,20 +148,16 @@
 /// A data centre may be cut off if this many heartbeats of it have not arrived,
 /// in a large fleet whose heartbeats are far apart.
 pub const MISSED_DATA_CENTRE_HEARTBEATS: u64 = 5;
-/// Minimum interval between two crash reports, in which news gathers.
-pub const CRASH_REPORT_INTERVAL: Span = Span::from_millis(50);
-/// Number of crash reports that repeat each item, in case a datagram is lost.
-pub const CRASH_REPORT_REPEATS: u8 = 3;
+/// Minimum interval between two reports of crashes, or of leaving targets, in which
+/// news gathers.
+pub const NEWS_INTERVAL: Span = Span::from_millis(50);
+/// Number of such reports that repeat each item, in case a datagram is lost.
+pub const NEWS_REPEATS: u8 = 3;
 /// Maximum number of items of each kind in a crash report, so that it fits in a
 /// datagram.
 pub const MAX_CRASH_REPORT_ITEMS: usize = 64;
 /// Maximum number of parts of a prompt that are suspected of a crash.
 pub const MAX_SUSPECT_PARTS: usize = 32;
-/// Interval between two reports of targets that say that they leave, in which news
-/// gathers.
-pub const LEAVING_REPORT_INTERVAL: Span = Span::from_millis(50);
-/// Number of reports that name each leaving target, in case a datagram is lost.
-pub const LEAVING_REPORT_REPEATS: u8 = 3;
 /// Maximum number of leaving targets in a report, so that it fits in a datagram.
 pub const MAX_REPORTED_LEAVING: usize = 100;
 /// How long a target that said that it leaves is remembered without a registration. Its
--- a/crates/gateway/src/peer/mod.rs
+++ b/crates/gateway/src/peer/mod.rs
@@ -7,6 +7,7 @@
 //! [`relay`]).
 
 mod load;
+mod news;
 mod ranking;
 mod relay;
 mod report;
@@ -28,6 +29,7 @@
 use crate::{Context, Effect, Identity, Output};
 
 pub use load::Loads;
+pub(crate) use news::News;
 pub use ranking::Ranking;
 
 /// Content of a heartbeat, apart from its sender.
--- a/crates/gateway/src/poison.rs
+++ b/crates/gateway/src/poison.rs
@@ -19,10 +19,10 @@
 use briarshift_wire::heartbeat::{Crash, TargetHash};
 
 use crate::limit::{
-    CRASH_REPEAT_TIME, CRASH_REPORT_INTERVAL, CRASH_REPORT_REPEATS, CRASH_SEND_TIME, CRASH_TTL,
-    MAX_CRASH_REPORT_ITEMS, MAX_HEARTBEAT_CRASHES, MAX_SUSPECT_PARTS, MAX_SUSPECT_REQUESTS,
-    POISON_CRASHES,
+    CRASH_REPEAT_TIME, CRASH_SEND_TIME, CRASH_TTL, MAX_CRASH_REPORT_ITEMS, MAX_HEARTBEAT_CRASHES,
+    MAX_SUSPECT_PARTS, MAX_SUSPECT_REQUESTS, POISON_CRASHES,
 };
+use crate::peer::News;
 use crate::request::Arrival;
 use crate::target::CrashedRequest;
 use crate::{Context, Effect, Output, peer};
@@ -33,9 +33,8 @@
     crashes: HashMap<Fingerprint, Vec<Seen>>,
     outgoing: Vec<(Crash, Moment)>,
     ledger: Ledger<TargetHash>,
-    /// News for the next reports, each with the number of reports still to contain it.
-    news: Vec<(News, u8)>,
-    reported_at: Moment,
+    /// What to tell peers.
+    news: News<Item>,
     /// What is refused has changed since it was last written.
     is_unsaved: bool,
 }
@@ -56,7 +55,7 @@
 }
 
 #[derive(Debug, Clone, PartialEq, Eq)]
-enum News {
+enum Item {
     Crash(PromptCrash),
     Cleared(PartId),
 }
@@ -81,7 +80,7 @@
         if !parts.is_empty() {
             let crash = PromptCrash { target, parts };
             self.insert_prompt_crash(ctx, &crash, out);
-            self.add_news(News::Crash(crash));
+            self.news.add(Item::Crash(crash));
         }
     }
 
@@ -95,7 +94,7 @@
     pub fn record_answer(&mut self, arrival: &Arrival, out: &mut Output) {
         for part in self.ledger.record_answer(&suspect_parts(arrival)) {
             out.log(Record::new("part_cleared").with("part", part).with("by", &arrival.attempt));
-            self.add_news(News::Cleared(part));
+            self.news.add(Item::Cleared(part));
         }
     }
 
@@ -174,39 +173,19 @@
     /// Removes expired entries, and sends news to the peers.
     pub fn tick(&mut self, ctx: &Context<'_>, peers: &peer::State, out: &mut Output) {
         self.outgoing.retain(|(_, at)| ctx.at.since(*at) < CRASH_SEND_TIME);
-        let refused = self.refused_crashes().len();
         self.crashes.retain(|_, crashes| {
-            crashes.last().is_some_and(|seen| ctx.at.since(seen.at) < CRASH_TTL)
+            let is_recent = crashes.last().is_some_and(|seen| ctx.at.since(seen.at) < CRASH_TTL);
+            self.is_unsaved |= !is_recent && POISON_CRASHES <= crashes.len();
+            is_recent
         });
-        self.is_unsaved |= self.refused_crashes().len() != refused;
         self.ledger.prune(ctx.at);
-        if !self.news.is_empty() && CRASH_REPORT_INTERVAL <= ctx.at.since(self.reported_at) {
-            self.reported_at = ctx.at;
-            let datagram = Datagram::CrashReport(self.take_report(ctx));
+        let news = self.news.take_due(MAX_CRASH_REPORT_ITEMS, ctx.at);
+        if !news.is_empty() {
+            let datagram = Datagram::CrashReport(report(ctx, news));
             out.push(Effect::Broadcast { addresses: peers.addresses(), datagram });
         }
     }
 
-    fn take_report(&mut self, ctx: &Context<'_>) -> Report {
-        let (mut crashes, mut cleared) = (Vec::new(), Vec::new());
-        for (news, repeats) in self.news.iter_mut().take(MAX_CRASH_REPORT_ITEMS) {
-            *repeats -= 1;
-            match news {
-                News::Crash(crash) => crashes.push(crash.clone()),
-                News::Cleared(part) => cleared.push(*part),
-            }
-        }
-        self.news.retain(|(_, repeats)| 0 < *repeats);
-        let (blocked, requests) = (Vec::new(), Vec::new());
-        Report { from: ctx.me.vm.clone(), crashes, cleared, blocked, requests }
-    }
-
-    fn add_news(&mut self, news: News) {
-        if !self.news.iter().any(|(known, _)| *known == news) {
-            self.news.push((news, CRASH_REPORT_REPEATS));
-        }
-    }
-
     fn insert_prompt_crash(&mut self, ctx: &Context<'_>, crash: &PromptCrash, out: &mut Output) {
         let Some(part) = self.ledger.record_crash(&crash.parts, crash.target, ctx.at) else {
             return;
@@ -235,6 +214,18 @@
     }
 }
 
+fn report(ctx: &Context<'_>, news: Vec<Item>) -> Report {
+    let (mut crashes, mut cleared) = (Vec::new(), Vec::new());
+    for item in news {
+        match item {
+            Item::Crash(crash) => crashes.push(crash),
+            Item::Cleared(part) => cleared.push(part),
+        }
+    }
+    let (blocked, requests) = (Vec::new(), Vec::new());
+    Report { from: ctx.me.vm.clone(), crashes, cleared, blocked, requests }
+}
+
 /// Returns the parts of a prompt that may crash targets under other requests too: all
 /// but the last, which belongs to the request itself.
 pub fn suspect_parts(arrival: &Arrival) -> Vec<PartId> {
--- a/crates/gateway/src/request/state.rs
+++ b/crates/gateway/src/request/state.rs
@@ -149,11 +149,7 @@
             let vms = step.view.peers.fleet_size();
             step.view.targets.set_report(step.ctx, &active.target, report, ok, vms, step.out);
         }
-        // A target that asks for a pause is not ill.
-        let is_paused = report.is_some_and(|report| report.pause.is_some());
-        if !(is_paused && matches!(end, End::NotRun { .. })) {
-            record_end(step, pending, &active, end);
-        }
+        record_end(step, pending, &active, end, report);
         pending.record_end(&active, end);
         step.out.log(record::ended(step.ctx, pending, &active, end));
         match self.next_action(step, request, end) {
@@ -284,12 +280,21 @@
 }
 
 /// Records what the end of a send shows about the target.
-fn record_end(step: &mut Step<'_, '_>, pending: &Pending, active: &ActiveSend, end: &End) {
+fn record_end(
+    step: &mut Step<'_, '_>,
+    pending: &Pending,
+    active: &ActiveSend,
+    end: &End,
+    report: Option<Report>,
+) {
+    let asks_for_pause = report.is_some_and(|report| report.pause.is_some());
     let (target, at) = (&active.target, step.ctx.at);
     let targets = &mut *step.view.targets;
     match end {
         End::Complete { ok } => targets.record_answer(target, *ok, at),
         End::NotRun { moved: true, .. } => targets.mark_moved(target, at),
+        // A target that asks for a pause is not ill.
+        End::NotRun { .. } if asks_for_pause => {}
         End::Failed { .. } | End::NotRun { .. } => targets.record_answer(target, false, at),
         End::NotSent { .. } | End::AnswerTimeout => {
             for crash in targets.record_unreachable(target, at) {
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -230,8 +230,7 @@
     }
 
     fn apply_update(&mut self, ctx: &Context<'_>, update: &Update, out: &mut Output) {
-        let store_failing = self.sync.is_store_failing(ctx.at);
-        for crash in self.targets.update(ctx, update, store_failing, out) {
+        for crash in self.targets.update(ctx, update, out) {
             self.poison.record_crash(ctx, crash, out);
         }
         self.peers.update(ctx, update, out);
--- a/crates/gateway/src/sync/mod.rs
+++ b/crates/gateway/src/sync/mod.rs
@@ -52,11 +52,9 @@
     pub rows: Vec<Row>,
     /// The rows are a snapshot: rows that are missing have been deleted.
     pub snapshot: bool,
-    /// When the rows before these were known to be all that there were. They changed
-    /// later than that.
-    pub changed_after: Option<Moment>,
-    /// A call of this VM itself to the store failed recently.
-    pub has_store_failed: bool,
+    /// Set while the store is failing: rows that are missing may have lapsed, at this time
+    /// at the earliest, and may return.
+    pub lapsed_at: Option<Moment>,
 }
 
 /// The query that is waiting for its reply.
@@ -397,7 +395,7 @@
         // The data was the newest `age` before the response was sent, and the
         // response was sent after the request: counting from the request is on
         // the safe side.
-        let changed_after = self.rows.at;
+        let read_before = self.rows.at;
         let as_of = |age: Span| Moment(response.request_sent_at.0.saturating_sub(age.0));
         let confirmed = as_of(response.age);
         if let Some(age) = response.rows_age {
@@ -406,7 +404,7 @@
         let version = self.version.max(Some(Version(response.version)));
         let version = version.unwrap_or_default();
         let rows = self.apply_rows(rows, false, version, Some(confirmed), out);
-        let update = self.update(ctx, rows, false, changed_after);
+        let update = self.update(ctx, rows, false, read_before);
         log_changes(&update, version, response.from.as_str(), response.rows_age, out);
         Some(update)
     }
@@ -445,13 +443,13 @@
                 // asks only whether the configuration has changed, since with
                 // many targets reading all changes takes long and would keep
                 // callers waiting.
-                let changed_after = self.rows.at;
+                let read_before = self.rows.at;
                 if snapshot {
                     self.rows.at = self.rows.at.max(Some(sent));
                     self.next_query_at = ctx.at;
                     self.unconfirmed = true;
                     let rows = self.apply_rows(rows, snapshot, version, None, out);
-                    return Some(self.update(ctx, rows, true, changed_after));
+                    return Some(self.update(ctx, rows, true, read_before));
                 }
                 let is_catalog = matches!(call, Call::ReadCatalog { .. });
                 if is_catalog {
@@ -466,7 +464,7 @@
                 let known = self.version.filter(|_| is_catalog);
                 let version = known.unwrap_or(version);
                 let rows = self.apply_rows(rows, false, version, Some(sent), out);
-                let update = self.update(ctx, rows, false, changed_after);
+                let update = self.update(ctx, rows, false, read_before);
                 log_changes(&update, version, "store", Some(ctx.at.since(sent)), out);
                 Some(update)
             }
@@ -484,16 +482,20 @@
         }
     }
 
+    /// Returns the update of rows that replace those of `read_before`. If this VM itself has
+    /// lost the store, what is missing has just lapsed for all that it knows. If only a peer
+    /// has, it may have been deleted right after the rows before.
     fn update(
         &self,
         ctx: &Context<'_>,
         rows: Vec<Row>,
         snapshot: bool,
-        changed_after: Option<Moment>,
+        read_before: Option<Moment>,
     ) -> Update {
         let is_recent = |at: Moment| ctx.at.since(at) < STORE_FAILURE_WINDOW;
-        let has_store_failed = self.own_failure_at.is_some_and(is_recent);
-        Update { rows, snapshot, changed_after, has_store_failed }
+        let earliest = read_before.filter(|_| !self.own_failure_at.is_some_and(is_recent));
+        let lapsed_at = self.is_store_failing(ctx.at).then(|| earliest.unwrap_or(ctx.at));
+        Update { rows, snapshot, lapsed_at }
     }
 
     /// Logs when the store starts to fail and when it is back.
--- a/crates/gateway/src/target/leaving.rs
+++ b/crates/gateway/src/target/leaving.rs
@@ -3,20 +3,16 @@
 //! What a target says of itself holds until a later start of it registers. No row of the
 //! store undoes it: the row may be older than the answer, or lapse and return.
 
-use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
 use briarshift_logging::Record;
 use briarshift_store::registry::Target;
 use briarshift_units::{Moment, StartNumber, TargetId};
 use briarshift_wire::datagram::Datagram;
-use briarshift_wire::heartbeat::TargetHash;
 use briarshift_wire::leaving::{Leaving, Report};
 
 use super::State;
-use crate::limit::{
-    LEAVING_REPORT_INTERVAL, LEAVING_REPORT_REPEATS, LEFT_TARGET_TTL, MAX_REPORTED_LEAVING,
-};
+use crate::limit::{LEFT_TARGET_TTL, MAX_REPORTED_LEAVING};
 use crate::{Context, Effect, Output, peer};
 
 /// A target that has said that it leaves.
@@ -39,13 +35,6 @@
     }
 }
 
-/// Leaving targets to tell peers, each with the number of reports still to name it.
-#[derive(Debug, Default)]
-pub(super) struct News {
-    targets: BTreeMap<TargetHash, (Leaving, u8)>,
-    reported_at: Moment,
-}
-
 impl State {
     /// Records that a target says in an answer to this VM that it leaves.
     pub fn record_leaving(&mut self, ctx: &Context<'_>, id: &TargetId, out: &mut Output) {
@@ -54,7 +43,7 @@
             return;
         }
         let leaving = Leaving { target: entry.hash, start: entry.target.start };
-        self.leaving_news.targets.insert(entry.hash, (leaving, LEAVING_REPORT_REPEATS));
+        self.leaving_news.add(leaving);
         self.set_left(ctx, id, leaving.start, "answer", out);
     }
 
@@ -90,18 +79,11 @@
         let entries = &self.entries;
         self.left
             .retain(|id, left| entries.contains_key(id) || ctx.at.since(left.at) < LEFT_TARGET_TTL);
-        let News { targets, reported_at } = &mut self.leaving_news;
-        if targets.is_empty() || ctx.at.since(*reported_at) < LEAVING_REPORT_INTERVAL {
+        let targets = self.leaving_news.take_due(MAX_REPORTED_LEAVING, ctx.at);
+        if targets.is_empty() {
             return;
         }
-        *reported_at = ctx.at;
-        let mut told = Vec::new();
-        for (leaving, repeats) in targets.values_mut().take(MAX_REPORTED_LEAVING) {
-            told.push(*leaving);
-            *repeats -= 1;
-        }
-        targets.retain(|_, (_, repeats)| 0 < *repeats);
-        let report = Report { from: ctx.me.vm.clone(), targets: told };
+        let report = Report { from: ctx.me.vm.clone(), targets };
         let datagram = Datagram::LeavingReport(report);
         out.push(Effect::Broadcast { addresses: peers.addresses(), datagram });
     }
--- a/crates/gateway/src/target/mod.rs
+++ b/crates/gateway/src/target/mod.rs
@@ -21,12 +21,13 @@
     DataCentre, Fingerprint, Moment, PartId, PoolId, RequestRate, Span, StartNumber, TargetId,
 };
 use briarshift_wire::heartbeat::{self, Failure, TargetHash};
+use briarshift_wire::leaving::Leaving;
 
 use crate::limit::{
     CRASH_SUSPICION_TIME, LAST_USE_OF_LEAVING, MAX_REPORT_AGE, MOVED_TARGET_PAUSE,
     UNCONFIRMED_TARGET_TTL,
 };
-use crate::peer::Loads;
+use crate::peer::{Loads, News};
 use crate::sync::Update;
 use crate::{Context, Effect, Output};
 
@@ -211,7 +212,7 @@
     limit_news: limit::News,
     /// Targets that have said that they leave.
     left: BTreeMap<TargetId, leaving::Left>,
-    leaving_news: leaving::News,
+    leaving_news: News<Leaving>,
 }
 
 impl State {
@@ -236,18 +237,16 @@
         &mut self,
         ctx: &Context<'_>,
         update: &Update,
-        store_failing: bool,
         out: &mut Output,
     ) -> Vec<CrashedRequest> {
         let mut crashes = Vec::new();
-        let ended_at = store_failing.then(|| earliest_end(ctx, update));
         if update.snapshot {
             let is_listed =
                 |id: &TargetId| update.rows.iter().any(|row| row.name == Name::Target(id.clone()));
             let unlisted: Vec<_> =
                 self.entries.keys().filter(|id| !is_listed(id)).cloned().collect();
             for id in unlisted {
-                self.remove(ctx, &id, ended_at, out, &mut crashes);
+                self.remove(ctx, &id, update.lapsed_at, out, &mut crashes);
             }
         }
         for row in &update.rows {
@@ -259,7 +258,7 @@
                 _ => {
                     let known = self.entries.get(id).map(|entry| entry.version);
                     if known.is_some_and(|known| known < row.version) {
-                        self.remove(ctx, id, ended_at, out, &mut crashes);
+                        self.remove(ctx, id, update.lapsed_at, out, &mut crashes);
                     }
                 }
             }
@@ -312,20 +311,19 @@
         entry.moved_at = None;
     }
 
-    /// Removes a target, or marks its registration as ended at a time at which the store
-    /// was failing, since it may return.
+    /// Removes a target, or marks its registration as lapsed, since it may return.
     fn remove(
         &mut self,
         ctx: &Context<'_>,
         id: &TargetId,
-        ended_at: Option<Moment>,
+        lapsed_at: Option<Moment>,
         out: &mut Output,
         crashes: &mut Vec<CrashedRequest>,
     ) {
         let Some(entry) = self.entries.get_mut(id) else { return };
-        if ended_at.is_some() {
+        if lapsed_at.is_some() {
             if entry.ended_at.is_none() {
-                entry.ended_at = ended_at;
+                entry.ended_at = lapsed_at;
                 out.log(Record::new("target_unsure").with("target", id));
             }
             return;
@@ -539,15 +537,6 @@
     }
 }
 
-/// Returns since when the targets of registrations that an update lacks are used for the
-/// last time. If this VM itself has lost the store, they may have lapsed, and return soon.
-/// If only a peer has, they may have been deleted right after the rows before: counted
-/// from then, their last use ends within the bound on leaving targets.
-fn earliest_end(ctx: &Context<'_>, update: &Update) -> Moment {
-    let deleted_after = update.changed_after.filter(|_| !update.has_store_failed);
-    deleted_after.unwrap_or(ctx.at)
-}
-
 fn registration_record(id: &TargetId, target: &Target, version: Version) -> Record {
     let status = match target.status {
         Status::Ready => "ready",
--- a/crates/gateway/tests/all/delegate.rs
+++ b/crates/gateway/tests/all/delegate.rs
@@ -4,7 +4,7 @@
 use briarshift_gateway::request::Cause;
 use briarshift_store::registry::{Call, Name, Reply, Row, Value};
 use briarshift_store::{Error, Version};
-use briarshift_units::{Moment, Span};
+use briarshift_units::{Moment, Revision, Span};
 use briarshift_wire::datagram::Datagram;
 use briarshift_wire::sync::{Request, Response};
 
@@ -65,6 +65,28 @@
     }
 }
 
+/// A current response with these rows.
+fn response(rows: Option<Vec<Row>>) -> Response {
+    Response {
+        from: "vm-1".parse().unwrap(),
+        request_sent_at: Moment(0),
+        version: 1_000,
+        age: Span::ZERO,
+        rows_age: Some(Span::ZERO),
+        store_failing: false,
+        rows,
+    }
+}
+
+/// Lets the delegate, whichever VM it is, respond to a request.
+fn respond(world: &mut World, request_sent_at: Moment, response: &Response) {
+    for vm in ["vm-1"].iter().chain(&PEERS) {
+        let from = vm.parse().unwrap();
+        let response = Response { from, request_sent_at, ..response.clone() };
+        world.apply(Kind::Datagram(Datagram::SyncResponse(response)));
+    }
+}
+
 /// Returns the peer named by the last `delegate_silent` log record, or an empty
 /// string. Which of the five VMs is the delegate is not known in advance.
 fn silent_delegate(world: &World) -> String {
@@ -86,27 +108,13 @@
 #[test]
 fn a_response_confirms_the_configuration_as_of_its_age() {
     let (mut world, request) = requesting_vm();
-    let mut row = None;
-    for vm in ["vm-1"].iter().chain(&PEERS) {
-        let rows = vec![Row {
-            name: Name::Catalog,
-            version: Version(1_000),
-            created: Version(1),
-            value: Some(catalog(9, "key-2")),
-        }];
-        row = Some(rows.clone());
-        let response = Response {
-            from: vm.parse().unwrap(),
-            request_sent_at: request.sent_at,
-            version: 1_000,
-            age: Span::from_millis(400),
-            rows_age: Some(Span::from_millis(400)),
-            store_failing: false,
-            rows: Some(rows),
-        };
-        world.apply(Kind::Datagram(Datagram::SyncResponse(response)));
-    }
-    assert!(row.is_some());
+    let value = Some(catalog(9, "key-2"));
+    let (version, created) = (Version(1_000), Version(1));
+    let rows = Some(vec![Row { name: Name::Catalog, version, created, value }]);
+    let age = Span::from_millis(400);
+    let response = Response { age, rows_age: Some(age), ..response(rows) };
+    respond(&mut world, request.sent_at, &response);
+    assert_eq!(world.state.status(world.now).revision, Revision(9));
     assert_eq!(expect_refusal(world.arrive("/safe/a")), Cause::NoAccount);
     let send =
         expect_send(world.arrive_with("/safe/a", |arrival| arrival.key = Some("key-2".into())));
@@ -201,19 +209,9 @@
 fn a_target_whose_row_is_deleted_and_written_again_stays() {
     let (mut world, request) = requesting_vm();
     let row = |version, value| target_row("t-1", version, version, value);
-    for vm in ["vm-1"].iter().chain(&PEERS) {
-        let rows = vec![row(900, None), row(950, Some(crate::world::target("t-1", "desk")))];
-        let response = Response {
-            from: vm.parse().unwrap(),
-            request_sent_at: request.sent_at,
-            version: 1_000,
-            age: Span::ZERO,
-            rows_age: Some(Span::ZERO),
-            store_failing: true,
-            rows: Some(rows),
-        };
-        world.apply(Kind::Datagram(Datagram::SyncResponse(response)));
-    }
+    let rows = vec![row(900, None), row(950, Some(crate::world::target("t-1", "desk")))];
+    let response = Response { store_failing: true, ..response(Some(rows)) };
+    respond(&mut world, request.sent_at, &response);
     world.advance(2_000);
     world.tick();
     assert_eq!(world.state.targets().ready_count(world.now), 1);
@@ -224,18 +222,9 @@
 #[test]
 fn the_last_use_of_a_target_counts_from_the_rows_before_if_a_peer_lost_the_store() {
     let (mut world, request) = requesting_vm();
-    for vm in ["vm-1"].iter().chain(&PEERS) {
-        let response = Response {
-            from: vm.parse().unwrap(),
-            request_sent_at: request.sent_at,
-            version: 1_000,
-            age: Span::ZERO,
-            rows_age: Some(Span::ZERO),
-            store_failing: true,
-            rows: Some(vec![target_row("t-1", 900, 0, None)]),
-        };
-        world.apply(Kind::Datagram(Datagram::SyncResponse(response)));
-    }
+    let rows = vec![target_row("t-1", 900, 0, None)];
+    let response = Response { store_failing: true, ..response(Some(rows)) };
+    respond(&mut world, request.sent_at, &response);
     // The rows before were read 0.9 s ago.
     expect_send(world.arrive("/safe/a"));
     world.advance(600);
@@ -282,18 +271,7 @@
 #[test]
 fn a_vm_whose_delegates_lack_changes_reads_the_store_at_once() {
     let (mut world, request) = requesting_vm();
-    for vm in ["vm-1"].iter().chain(&PEERS) {
-        let response = Response {
-            from: vm.parse().unwrap(),
-            request_sent_at: request.sent_at,
-            version: 1_000,
-            age: Span::ZERO,
-            rows_age: Some(Span::ZERO),
-            store_failing: false,
-            rows: None,
-        };
-        world.apply(Kind::Datagram(Datagram::SyncResponse(response)));
-    }
+    respond(&mut world, request.sent_at, &response(None));
     world.tick();
     assert!(world.calls.iter().any(|call| matches!(call, Call::ReadChanges { .. })));
 }
@@ -309,14 +287,9 @@
     let after = world.version();
     world.reply_rows(changes(), Err(Error::Compacted));
     world.read_unconfirmed(&["t-2", "t-3"]);
-    let request = Request { from: "vm-2".parse().unwrap(), sent_at: Moment(77), after };
-    world.apply(Kind::Datagram(Datagram::SyncRequest(request)));
-    let Some(Datagram::SyncResponse(response)) = world.datagrams.last() else { panic!() };
-    let rows = response.rows.as_ref().unwrap().iter();
-    let told: Vec<_> = rows.map(|row| (row.name.to_string(), row.value.is_some())).collect();
     let expected = [("target:t-1", false), ("target:t-3", true), ("member:vm-2", false)];
     let expected = expected.map(|(name, is_there)| (name.to_owned(), is_there));
-    assert_eq!(told, expected);
+    assert_eq!(rows_for_peer(&mut world, after), Some(expected.to_vec()));
 }
 
 #[test]
@@ -430,18 +403,8 @@
     let mut sent_at = vec![request.sent_at];
     while !world.calls.iter().any(|call| matches!(call, Call::ReadChanges { .. })) {
         for at in std::mem::take(&mut sent_at) {
-            for vm in ["vm-1"].iter().chain(&PEERS) {
-                let response = Response {
-                    from: vm.parse().unwrap(),
-                    request_sent_at: at,
-                    version: 0,
-                    age: Span::ZERO,
-                    rows_age: None,
-                    store_failing: false,
-                    rows: Some(Vec::new()),
-                };
-                world.apply(Kind::Datagram(Datagram::SyncResponse(response)));
-            }
+            let response = Response { version: 0, rows_age: None, ..response(Some(Vec::new())) };
+            respond(&mut world, at, &response);
         }
         world.datagrams.clear();
         world.advance(25);
--- a/crates/gateway/tests/all/drain.rs
+++ b/crates/gateway/tests/all/drain.rs
@@ -13,12 +13,17 @@
 fn stopping(millis: u64) -> World {
     let mut world = World::new(&["t-1"]);
     world.apply(Kind::Drain);
+    pass(&mut world, millis);
+    world
+}
+
+/// Lets time pass while the store is read.
+fn pass(world: &mut World, millis: u64) {
     for _ in 0..millis / 100 {
         world.advance(100);
         world.reply_rows(changes(), Ok(Vec::new()));
         world.tick();
     }
-    world
 }
 
 #[test]
@@ -48,11 +53,7 @@
 fn a_drain_waits_for_requests_in_flight() {
     let mut world = stopping(1_000);
     expect_send(world.arrive("/book/a"));
-    for _ in 0..60 {
-        world.advance(100);
-        world.reply_rows(changes(), Ok(Vec::new()));
-        world.tick();
-    }
+    pass(&mut world, 6_000);
     assert!(!world.drained);
     for _ in 0..10 {
         world.advance(100);
@@ -66,11 +67,7 @@
 fn held_up(millis: u64) -> World {
     let mut world = stopping(1_000);
     expect_send(world.arrive("/long/a"));
-    for _ in 0..(millis - 1_000) / 100 {
-        world.advance(100);
-        world.reply_rows(changes(), Ok(Vec::new()));
-        world.tick();
-    }
+    pass(&mut world, millis - 1_000);
     world
 }
 
