Tell peers of the second deletion of a row

Cause: a delegate that knew a row as deleted dropped its next deletion as a repetition, although the row was written in between. A peer that had seen it written kept the target.

Change: two deletions of a row are never equal.

Result: delegate::the_second_deletion_of_a_row_reaches_peers is red before (no row for the peer) and green after.

--- a/crates/gateway/src/sync/journal.rs
+++ b/crates/gateway/src/sync/journal.rs
@@ -105,8 +105,9 @@
             return false;
         }
         if let Some(known) = self.rows.get(&row.name) {
+            // Between two deletions the row was written.
             let is_equal =
-                known.value == row.value && (known.created == row.created || row.value.is_none());
+                row.value.is_some() && known.value == row.value && known.created == row.created;
             if row.version < known.version || is_equal {
                 return false;
             }
--- a/crates/gateway/tests/all/delegate.rs
+++ b/crates/gateway/tests/all/delegate.rs
@@ -356,6 +356,17 @@
     assert_eq!(rows_for_peer(&mut world, 25), Some(vec![("target:t-1".to_owned(), false)]));
 }
 
+/// A delegate that knew a row as deleted dropped its next deletion, and peers that had seen
+/// it written in between went on sending to that target.
+#[test]
+fn the_second_deletion_of_a_row_reaches_peers() {
+    let deletion = |version| vec![target_row("t-1", version, 0, None)];
+    let mut world = delegate(Vec::new(), deletion(22));
+    let reply = Reply::Rows { rows: deletion(38), version: Version(40) };
+    world.reply(changes(), reply);
+    assert_eq!(rows_for_peer(&mut world, 35), Some(vec![("target:t-1".to_owned(), false)]));
+}
+
 /// A row that was deleted and written again unchanged between two reads of a delegate
 /// stayed deleted for peers that had seen the deletion.
 #[test]
