Let a deployment's terms switch features on

Cause: what newer deployments call for must not change how earlier ones are served.

Change: the settings name the platform's terms (terms); platform::features translates them into gateway::Features, which the reducer reads.

Result: clippy, and the tests of platform (doc), settings and gateway, green.

--- a/crates/daemon/src/gateway/daemon.rs
+++ b/crates/daemon/src/gateway/daemon.rs
@@ -12,7 +12,7 @@
 use actix_web::{App, HttpServer, web};
 use anyhow::{Context, anyhow};
 use briarshift_forward::{Client, HeaderCodec};
-use briarshift_gateway::{Bounds, Identity, Kind};
+use briarshift_gateway::{Bounds, Features, Identity, Kind};
 use briarshift_routing::freshness;
 use briarshift_routing::retry_window::Budget;
 use briarshift_routing::selection::Bound;
@@ -63,6 +63,8 @@
 pub struct Options {
     /// The settings of the process.
     pub settings: Settings,
+    /// What the deployment calls for.
+    pub features: Features,
     /// Creates the client of the platform's store, on the control thread.
     pub registry: RegistryFactory,
     /// Creates the codec for the platform's headers, on the traffic thread.
@@ -156,10 +158,10 @@
 
 /// Runs the gateway on the control thread until its handle stops it.
 async fn serve(options: Options, ready: std::sync::mpsc::Sender<Handles>) -> anyhow::Result<()> {
-    let Options { settings, registry, header_codec } = options;
+    let Options { settings, features, registry, header_codec } = options;
     let (stop, stopped) = oneshot::channel::<()>();
     let link = Link::bind(settings.peer_address).await?;
-    let identity = identity(&settings, &link)?;
+    let identity = identity(&settings, features, &link)?;
     log::info!(
         "event=start vm={} start={} data_centre={} version={}",
         identity.vm,
@@ -207,7 +209,7 @@
     }
 }
 
-fn identity(settings: &Settings, link: &Link) -> anyhow::Result<Identity> {
+fn identity(settings: &Settings, features: Features, link: &Link) -> anyhow::Result<Identity> {
     Ok(Identity {
         vm: settings.vm.clone(),
         start: clock::start(),
@@ -216,6 +218,7 @@
         link: MegabitsPerSecond(settings.link_mbit_s as u64),
         secret: secret()?,
         bounds: bounds(settings),
+        features,
     })
 }
 
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -25,6 +25,16 @@
     pub grace: Span,
 }
 
+/// What a deployment calls for beyond routing. Everything is off by default.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Features {
+    /// Share the room of a pool among client accounts while it is short, and let requests
+    /// wait for it.
+    pub fair_shares: bool,
+    /// Place requests by the memory that they need and by the speed of targets.
+    pub room: bool,
+}
+
 /// Identity and settings of this VM. Only `bounds` changes during the life of
 /// the process.
 #[derive(Debug, Clone, PartialEq)]
@@ -43,6 +53,8 @@
     pub secret: Secret,
     /// The guarantees in force.
     pub bounds: Bounds,
+    /// What the deployment calls for.
+    pub features: Features,
 }
 
 impl Identity {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -38,7 +38,7 @@
 pub mod status;
 pub mod sync;
 
-pub use context::{Bounds, Context, Identity, Output};
+pub use context::{Bounds, Context, Features, Identity, Output};
 pub use effect::Effect;
 pub use event::{Event, Kind};
 pub use state::State;
--- a/crates/gateway/tests/all/changes.rs
+++ b/crates/gateway/tests/all/changes.rs
@@ -9,7 +9,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
-use briarshift_gateway::{Bounds, Effect, Event, Identity, Kind, State};
+use briarshift_gateway::{Bounds, Effect, Event, Features, Identity, Kind, State};
 use briarshift_store::registry::{Call, Member, Name, Reply, Row, Secret, Status, Target, Value};
 use briarshift_store::{Error, Lease, LeaseId, Version};
 use briarshift_units::{MegabitsPerSecond, Moment, Revision, Span, StartNumber, TargetId};
@@ -292,7 +292,8 @@
         };
         let start = StartNumber(self.starts);
         let (secret, bounds) = (Secret([1; 32]), self.bounds.clone());
-        Identity { vm, start, data_centre, address, link, secret, bounds }
+        let features = Features::default();
+        Identity { vm, start, data_centre, address, link, secret, bounds, features }
     }
 
     fn act(&mut self, action: &Action) {
--- a/crates/gateway/tests/all/fleet.rs
+++ b/crates/gateway/tests/all/fleet.rs
@@ -5,7 +5,7 @@
 use std::net::SocketAddr;
 
 use briarshift_gateway::request::{Arrival, Decision, End, Event as Request};
-use briarshift_gateway::{Bounds, Effect, Event, Identity, Kind, State};
+use briarshift_gateway::{Bounds, Effect, Event, Features, Identity, Kind, State};
 use briarshift_store::registry::{Call, Member, Name, Reply, Row, Secret, Target, Value};
 use briarshift_store::{Error, Lease, LeaseId, Version};
 use briarshift_units::{
@@ -333,5 +333,6 @@
         link: member.link,
         secret: Secret([1; 32]),
         bounds: Bounds { key_age: Span::from_millis(3_600), change: CHANGE, ..bounds() },
+        features: Features::default(),
     }
 }
--- a/crates/gateway/tests/all/world.rs
+++ b/crates/gateway/tests/all/world.rs
@@ -5,7 +5,7 @@
 
 use briarshift_catalog::{Account, Catalog, Engine, Kind as RouteKind, Pool, Route};
 use briarshift_gateway::request::{Arrival, Cause, Decision, End, Event as Request, Send};
-use briarshift_gateway::{Bounds, Effect, Event, Identity, Kind, State};
+use briarshift_gateway::{Bounds, Effect, Event, Features, Identity, Kind, State};
 use briarshift_routing::retry_window::Budget;
 use briarshift_routing::selection::{Bound, Part};
 use briarshift_store::registry::{Call, Member, Name, Reply, Row, Secret, Status, Target, Value};
@@ -66,6 +66,7 @@
             link: MegabitsPerSecond(100),
             secret: Secret([1; 32]),
             bounds: bounds(),
+            features: Features::default(),
         };
         Self {
             state: State::new(me),
--- a/crates/settings/src/gateway.rs
+++ b/crates/settings/src/gateway.rs
@@ -54,6 +54,10 @@
     pub store: SmolStr,
     /// Guarantees of the operators.
     pub bounds: Bounds,
+    /// Names of the terms under which the platform's operators run this deployment. The platform's
+    /// adapter tells which features they call for.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub terms: Vec<SmolStr>,
 }
 
 /// Limits that this VM observes to keep the operators' guarantees.
--- a/src/commands/gateway.rs
+++ b/src/commands/gateway.rs
@@ -48,6 +48,7 @@
         let mut hangup = signal(SignalKind::hangup()).context("cannot wait for SIGHUP")?;
         let mut in_force = settings.clone();
         let daemon = gateway::Gateway::start(gateway::Options {
+            features: briarshift_platform::features(&settings.terms),
             settings,
             registry: Box::new(|settings| Rc::new(Store::new(&settings.store, STORE_TIMEOUT))),
             header_codec: Arc::new(|| Box::new(Headers)),
