Explain where a request would go, without sending it

Cause: an operator could learn why a request went somewhere only from logs, afterwards.

Change: briarshift explain asks a gateway VM's operator address (GET /explain). The answer comes from the functions that place requests, changes no state and shows no key: target or refusal, candidates, and targets passed over with the reason.

--- a/crates/catalog/src/catalog.rs
+++ b/crates/catalog/src/catalog.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 
-use briarshift_units::{PoolId, Revision, Size, Span};
+use briarshift_units::{AccountId, PoolId, Revision, Size, Span};
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
@@ -107,6 +107,11 @@
         self.keys.get(key)
     }
 
+    /// Returns the keys of an account.
+    pub fn keys_of(&self, id: &AccountId) -> impl Iterator<Item = &SmolStr> {
+        self.keys.iter().filter(|(_, account)| account.id == *id).map(|(key, _)| key)
+    }
+
     /// Returns true if there are accounts, so that requests need an account key.
     pub fn has_accounts(&self) -> bool {
         0 < self.accounts
--- a/crates/daemon/src/gateway/control.rs
+++ b/crates/daemon/src/gateway/control.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use actix::{Actor, AsyncContext, Context, Handler, Message};
+use briarshift_gateway::request::explain::{Answer, Question};
 use briarshift_gateway::request::{self, Arrival, Decision, End};
 use briarshift_gateway::status::Status;
 use briarshift_gateway::{Effect, Event, Identity, Kind, State};
@@ -54,6 +55,13 @@
 /// Requests the [`Status`].
 pub(crate) struct GetStatus;
 
+/// Requests an explanation of where a request would go now.
+pub(crate) struct Explain(pub(crate) Question);
+
+impl Message for Explain {
+    type Result = Answer;
+}
+
 impl Message for Input {
     type Result = ();
 }
@@ -202,6 +210,14 @@
     }
 }
 
+impl Handler<Explain> for Control {
+    type Result = actix::MessageResult<Explain>;
+
+    fn handle(&mut self, Explain(question): Explain, _: &mut Self::Context) -> Self::Result {
+        actix::MessageResult(self.state.explain(clock::now(), fastrand::u64(..), &question))
+    }
+}
+
 impl Handler<GetStatus> for Control {
     type Result = actix::MessageResult<GetStatus>;
 
--- a/crates/gateway/src/request/choice.rs
+++ b/crates/gateway/src/request/choice.rs
@@ -60,9 +60,7 @@
     if candidates.is_empty() {
         candidates = view.targets.candidates(&query, &pending.pool, &[]);
     }
-    let cached_by = |candidate: &Candidate<'_>| {
-        view.cache.cached_tokens(TargetHash::of(candidate.name), pending.shared_parts(), ctx.at)
-    };
+    let cached_by = |candidate: &Candidate<'_>| view.held_tokens(ctx, pending, candidate.name);
     let limited_until = view.targets.limited_until(&query, &pending.pool);
     let denied = limited_until.map_or(Denied::NoTarget, Denied::Limited);
     let index = if pending.parts.is_empty() {
--- a/crates/gateway/src/request/mod.rs
+++ b/crates/gateway/src/request/mod.rs
@@ -10,6 +10,7 @@
 mod admit;
 mod choice;
 mod event;
+pub mod explain;
 mod pending;
 mod record;
 mod refusal;
--- a/crates/gateway/src/request/state.rs
+++ b/crates/gateway/src/request/state.rs
@@ -7,6 +7,7 @@
 
 use super::admit::admit;
 use super::choice::{Choice, Denied, answer_deadline, choose};
+use super::explain::{self, Answer, Question};
 use super::pending::{ActiveSend, Pending};
 use super::view::{Step, View};
 use super::{Arrival, Cause, Decision, End, Event, Refusal, Send, SendId, record};
@@ -61,6 +62,12 @@
         }
     }
 
+    /// Explains where a request would go now. Changes nothing.
+    pub fn explain(ctx: &Context<'_>, view: &mut View<'_>, question: &Question) -> Answer {
+        let step = Step { ctx, view, out: &mut Output::default() };
+        explain::answer(&step, question)
+    }
+
     /// Ends all requests because the process ends. Their callers are told that they may
     /// have run; a stream that has begun can only be broken off.
     pub fn end_all(&mut self, ctx: &Context<'_>, out: &mut Output) {
@@ -99,10 +106,10 @@
         }
         let choice = match choose(step, pending) {
             Ok(choice) => choice,
-            Err(Denied::NoTarget) => {
-                return self.refuse_pending(step, request, Cause::NoTarget);
+            Err(denied) => {
+                let (cause, wait) = denial(denied, step.ctx.at);
+                return self.refuse_pending_after(step, request, cause, wait);
             }
-            Err(Denied::Limited(until)) => return self.refuse_until(step, request, until),
         };
         pending.sends += 1;
         let id = SendId { request, number: pending.sends };
@@ -205,13 +212,6 @@
         }
     }
 
-    /// Refuses a request because all targets have reached the limits that they name, until
-    /// `permitted_at`.
-    fn refuse_until(&mut self, step: &mut Step<'_, '_>, request: RequestId, permitted_at: Moment) {
-        let wait = permitted_at.since(step.ctx.at);
-        self.refuse_pending_after(step, request, Cause::TurnedAway, wait);
-    }
-
     fn refuse_pending(&mut self, step: &mut Step<'_, '_>, request: RequestId, cause: Cause) {
         self.refuse_pending_after(step, request, cause, Span::ZERO);
     }
@@ -319,9 +319,18 @@
     step.out.push(Effect::Decide { request: arrival.request, decision: Decision::Refuse(refusal) });
 }
 
+/// Returns why a request that no target can get is refused, and how long its caller
+/// should wait at least.
+pub(super) fn denial(denied: Denied, now: Moment) -> (Cause, Span) {
+    match denied {
+        Denied::NoTarget => (Cause::NoTarget, Span::ZERO),
+        Denied::Limited(until) => (Cause::TurnedAway, until.since(now)),
+    }
+}
+
 /// Returns how long the caller should wait, at least for `wait`, randomized so that
 /// callers do not all return at once.
-fn retry_after(cause: Cause, wait: Span, entropy: u64) -> Option<Span> {
+pub(super) fn retry_after(cause: Cause, wait: Span, entropy: u64) -> Option<Span> {
     let base = match cause {
         Cause::NotReady | Cause::Stale => RETRY_AFTER_STALE,
         Cause::Leaving => RETRY_AFTER_LEAVING,
--- a/crates/gateway/src/request/view.rs
+++ b/crates/gateway/src/request/view.rs
@@ -5,6 +5,7 @@
 use briarshift_catalog::Catalog;
 use briarshift_routing::freshness::Freshness;
 use briarshift_units::Moment;
+use briarshift_wire::heartbeat::TargetHash;
 
 use super::pending::Pending;
 use crate::{Context, Output, cache, peer, poison, target};
@@ -54,6 +55,11 @@
             now: ctx.at,
         }
     }
+
+    /// Returns how many tokens of a request's prompt a target is expected to hold.
+    pub(super) fn held_tokens(&self, ctx: &Context<'_>, pending: &Pending, target: &str) -> u64 {
+        self.cache.cached_tokens(TargetHash::of(target), pending.shared_parts(), ctx.at)
+    }
 }
 
 /// The context of the event that is being applied, access to the other
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -12,6 +12,7 @@
 use briarshift_wire::holding::Holdings;
 
 use crate::peer::Outgoing;
+use crate::request::explain::{Answer, Question};
 use crate::status::Status;
 use crate::sync::Update;
 use crate::{
@@ -68,6 +69,15 @@
         &self.targets
     }
 
+    /// Explains where a request would go now. Changes nothing; `entropy` draws between
+    /// equally good targets.
+    pub fn explain(&mut self, now: Moment, entropy: u64, question: &Question) -> Answer {
+        let me = Arc::clone(&self.me);
+        let ctx = Context { at: now, entropy, me: &me };
+        let (_, mut view) = self.requests_and_view(&ctx);
+        request::State::explain(&ctx, &mut view, question)
+    }
+
     /// Applies one event and returns the resulting effects, in order.
     pub fn apply(&mut self, event: Event) -> Vec<Effect> {
         let me = Arc::clone(&self.me);
@@ -166,17 +176,22 @@
     }
 
     fn handle_request(&mut self, ctx: &Context<'_>, event: request::Event, out: &mut Output) {
-        let leaving = self.drain.leaving(ctx.me.bounds.grace, ctx.at);
-        let mut view = request::View {
+        let (requests, mut view) = self.requests_and_view(ctx);
+        requests.apply(ctx, &mut view, event, out);
+    }
+
+    /// Returns the requests, and what the other components know.
+    fn requests_and_view(&mut self, ctx: &Context<'_>) -> (&mut request::State, request::View<'_>) {
+        let view = request::View {
             catalog: self.sync.catalog(),
             freshness: self.sync.freshness(),
             targets: &mut self.targets,
             peers: &self.peers,
             cache: &mut self.cache,
             poison: &mut self.poison,
-            leaving,
+            leaving: self.drain.leaving(ctx.me.bounds.grace, ctx.at),
         };
-        self.requests.apply(ctx, &mut view, event, out);
+        (&mut self.requests, view)
     }
 
     fn handle_store_reply(
--- a/crates/gateway/src/target/mod.rs
+++ b/crates/gateway/src/target/mod.rs
@@ -6,6 +6,7 @@
 //! if it is larger and recent.
 
 mod data_centre;
+mod exclusion;
 mod leaving;
 mod limit;
 
--- a/src/bin/briarshift.rs
+++ b/src/bin/briarshift.rs
@@ -4,7 +4,7 @@
 use std::process::ExitCode;
 
 use actix_rt::System;
-use briarshift::commands::{config, demo, drain, gateway, keys, serve, status, usage};
+use briarshift::commands::{config, demo, drain, explain, gateway, keys, serve, status, usage};
 use gumdrop::Options;
 
 /// The command line.
@@ -30,6 +30,8 @@
     Status(status::Options),
     /// stop a VM from accepting new requests
     Drain(drain::Options),
+    /// show where a request would go now, and why, without sending it
+    Explain(explain::Options),
     /// show each owner's share of the bill, or check the records behind it
     Usage(usage::Options),
     /// create a certificate authority for development and certificates for VMs
@@ -65,6 +67,7 @@
         Command::Config(options) => System::new().block_on(config::run(options)),
         Command::Status(options) => System::new().block_on(status::run(options)),
         Command::Drain(options) => System::new().block_on(drain::run(options)),
+        Command::Explain(options) => System::new().block_on(explain::run(options)),
         Command::Usage(options) => System::new().block_on(usage::run(options)),
         Command::Keys(options) => keys::run(options),
     }
--- a/src/commands/mod.rs
+++ b/src/commands/mod.rs
@@ -3,6 +3,7 @@
 pub mod config;
 pub mod demo;
 pub mod drain;
+pub mod explain;
 pub mod gateway;
 pub mod keys;
 pub mod serve;
