Feed cold targets by a few VMs in turns

Cause: a target that has just started, or become cold, holds no request, so all VMs prefer it at once. No code read what targets say of their coldness, nor the rate that the configuration gives.

Change: routing::slow_start draws for each cold target a few VMs by rendezvous over all registered VMs, heard or not; each sends one request in 1.1 s. The entry, an answer, a start and a failure to reach the target tell that it is cold. A VM that has just started, or is long cut off from the store, has no turns.

--- a/crates/catalog/src/lib.rs
+++ b/crates/catalog/src/lib.rs
@@ -13,5 +13,5 @@
 
 pub use account::Account;
 pub use catalog::{Catalog, CatalogBuilder, Limits};
-pub use pool::{Engine, Pool};
+pub use pool::{Engine, Pool, SlowStart};
 pub use route::{Kind, Route, RouteBuilder, Share};
--- a/crates/catalog/src/pool.rs
+++ b/crates/catalog/src/pool.rs
@@ -1,6 +1,6 @@
 //! Pools of targets.
 
-use briarshift_units::PoolId;
+use briarshift_units::{PoolId, RequestRate, Span};
 use serde::{Deserialize, Serialize};
 
 /// A pool: targets that serve the same requests.
@@ -12,6 +12,17 @@
     pub max_connections: u32,
     /// Resources of each target, if the targets are model engines.
     pub engine: Option<Engine>,
+    /// How slowly its targets start, if they do.
+    pub slow_start: Option<SlowStart>,
+}
+
+/// What a target tolerates while it is cold: after its start, and whenever it says so.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SlowStart {
+    /// How long a target is cold after its start.
+    pub time: Span,
+    /// Requests that a cold target tolerates from all VMs together.
+    pub rate: RequestRate,
 }
 
 /// The resources of each engine of a pool.
--- a/crates/daemon/src/gateway/task.rs
+++ b/crates/daemon/src/gateway/task.rs
@@ -375,7 +375,8 @@
     let load = headers.load.map(|(running, waiting, slots)| Load { running, waiting, slots });
     let is_turned_away = status == StatusCode::SERVICE_UNAVAILABLE;
     let pause = headers.retry_after.filter(|wait| is_turned_away && Span::ZERO < *wait);
-    Report { load, limit: headers.limit, is_leaving: headers.is_leaving, pause }
+    let ResponseHeaders { limit, is_leaving, cold, .. } = *headers;
+    Report { load, limit, is_leaving, pause, cold }
 }
 
 /// Reads the first complete events of a stream.
--- a/crates/forward/src/header.rs
+++ b/crates/forward/src/header.rs
@@ -67,6 +67,8 @@
     pub is_leaving: bool,
     /// Time after which the target may be asked again, if it states one.
     pub retry_after: Option<Span>,
+    /// How long the target remains cold, if it tells.
+    pub cold: Option<Span>,
     /// Name of a header that is malformed and was ignored, if there is one.
     pub malformed: Option<&'static str>,
 }
--- a/crates/gateway/src/limit.rs
+++ b/crates/gateway/src/limit.rs
@@ -223,3 +223,24 @@
 pub const RETRY_AFTER_TURNED_AWAY: Span = Span::from_millis(50);
 /// Minimum retry delay for callers whose request crashes targets.
 pub const RETRY_AFTER_POISON: Span = Span::from_secs(10);
+/// Greatest age of a target's registration when it arrives: targets write at least each
+/// 1.2 s, and VMs read what has changed within two seconds.
+pub const MAX_ROW_AGE: Span = Span::from_secs(4);
+/// How long a VM that has just read the registrations has no turns at cold targets. What it
+/// read may be three seconds old, and the others learn of it within two.
+pub const COLD_START_WAIT: Span = Span::from_secs(5);
+/// How long a VM has turns at cold targets when it no longer hears of the store, and how
+/// long it keeps the place of a VM whose registration has ended. A VM's registration
+/// outlives it by as long ([`LEASE_TTL`]), so that its turns end before others take them.
+pub const MAX_FEEDER_AGE: Span = LEASE_TTL;
+/// Interval at which a VM looks which others are registered, to draw its turns.
+pub const MEMBERSHIP_INTERVAL: Span = Span::from_millis(250);
+/// How long a target that could not be reached may be cold when it answers again. Its
+/// registration ends after about 4 s of silence, and tells within as many that it is back.
+pub const LOST_TARGET_TIME: Span = Span::from_secs(10);
+/// Lost targets of a pool are taken to be a fault of this VM's link if they are more than
+/// one in this many.
+pub const LOST_TARGETS_DIVISOR: usize = 2;
+/// Longest time for which a target counts as cold after its last word. Starts take some
+/// seconds; an odd figure must not keep a target out for ever.
+pub const MAX_COLD_TIME: Span = Span::from_secs(60);
--- a/crates/gateway/src/peer/mod.rs
+++ b/crates/gateway/src/peer/mod.rs
@@ -290,6 +290,11 @@
         silent.map(|(data_centre, (at, _))| (data_centre.clone(), at)).collect()
     }
 
+    /// Returns the ids of all peers.
+    pub fn vms(&self) -> impl Iterator<Item = &VmId> {
+        self.peers.keys()
+    }
+
     /// Returns the addresses of all peers.
     pub fn addresses(&self) -> Vec<SocketAddr> {
         self.peers.values().map(|peer| peer.member.address).collect()
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -95,6 +95,8 @@
         self.targets.tick(ctx, out);
         self.targets.tick_limits(ctx, &self.peers, out);
         self.targets.tick_leaving(ctx, &self.peers, out);
+        let confirmed_at = self.sync.freshness().confirmed_at();
+        self.targets.tick_cold(ctx, &self.peers, confirmed_at, out);
         self.poison.tick(ctx, &self.peers, out);
         self.cache.tick(ctx.at);
         self.write_holdings(ctx, out);
@@ -230,6 +232,9 @@
     }
 
     fn apply_update(&mut self, ctx: &Context<'_>, update: &Update, out: &mut Output) {
+        if let Some(catalog) = self.sync.catalog() {
+            self.targets.set_slow_starts(catalog);
+        }
         for crash in self.targets.update(ctx, update, out) {
             self.poison.record_crash(ctx, crash, out);
         }
@@ -248,6 +253,7 @@
         let new = incoming.placements.len().min(incoming.new_prompts as usize);
         self.targets.record_peer_sends(&incoming.placements[..new], ctx.at);
         self.targets.apply_peer_failures(&incoming.failures, ctx.at);
+        self.targets.record_peer_losses(ctx, &from, &incoming.failures, out);
         for crash in incoming.crashes {
             self.poison.record_peer_crash(ctx, crash, out);
         }
@@ -290,6 +296,7 @@
         }
         out.log(Record::new("target_down").with("target", target).with("address", address));
         out.push(Effect::CloseConnections(address));
+        self.targets.record_lost(ctx, target, out);
         for crash in self.targets.record_unreachable(target, ctx.at) {
             self.poison.record_crash(ctx, crash, out);
         }
--- a/crates/gateway/src/target/limit.rs
+++ b/crates/gateway/src/target/limit.rs
@@ -56,10 +56,10 @@
         }
     }
 
-    /// Returns when neither a limit nor a pause will hold a request back, as far as that
-    /// is known.
+    /// Returns when neither a limit nor a pause nor coldness will hold a request back, as far
+    /// as that is known.
     fn released_at(&self, query: &Query<'_>) -> Moment {
-        let permitted_at = self.permitted_at(query);
+        let permitted_at = self.permitted_at(query).max(self.warm_or_turn_at(query.now));
         let Some(pause) = &self.pause else { return permitted_at };
         permitted_at.max(pause.until()).max(query.now + PAUSE_RECOVERY_TIME)
     }
@@ -173,12 +173,12 @@
         out.push(Effect::Broadcast { addresses: peers.addresses(), datagram });
     }
 
-    /// Returns when the first of the targets of a pool that a limit or a pause holds back
-    /// may get a request.
+    /// Returns when the first of the targets of a pool that a limit, a pause or coldness
+    /// holds back may get a request. Those that can't be reached do not count.
     pub fn limited_until(&self, query: &Query<'_>, pool: &PoolId) -> Option<Moment> {
         let of_pool = self.entries.values().filter(|entry| entry.target.pool == *pool);
         let ready = of_pool.filter(|entry| entry.is_ready(query.now));
-        let held_back = ready.filter(|entry| !entry.is_permitted(query));
+        let held_back = ready.filter(|entry| !entry.is_lost() && !entry.is_permitted(query));
         held_back.map(|entry| entry.released_at(query)).min()
     }
 
--- a/crates/gateway/src/target/mod.rs
+++ b/crates/gateway/src/target/mod.rs
@@ -5,6 +5,7 @@
 //! are silent, the load that the target itself reports in its answers is used
 //! if it is larger and recent.
 
+mod cold;
 mod data_centre;
 mod leaving;
 mod limit;
@@ -18,7 +19,7 @@
 use briarshift_store::Version;
 use briarshift_store::registry::{Name, Row, Status, Target, Value};
 use briarshift_units::{
-    DataCentre, Fingerprint, Moment, PartId, PoolId, RequestRate, Span, StartNumber, TargetId,
+    DataCentre, Fingerprint, Moment, PartId, PoolId, RequestRate, Span, StartNumber, TargetId, VmId,
 };
 use briarshift_wire::heartbeat::{self, Failure, TargetHash};
 use briarshift_wire::leaving::Leaving;
@@ -42,6 +43,8 @@
     pub is_leaving: bool,
     /// Time for which it wants no requests from this VM, if it names one.
     pub pause: Option<Span>,
+    /// How long it remains cold, if it tells.
+    pub cold: Option<Span>,
 }
 
 /// The load that a target reports.
@@ -98,6 +101,10 @@
     limit: Option<limit::Active>,
     /// The pause that it asked this VM for, and the recovery after it.
     pause: Option<Pause>,
+    /// Until when it is cold, and this VM's turns meanwhile.
+    cold: Option<cold::Cold>,
+    /// The peer that last could not reach it, and when it said so.
+    lost_by: Option<(VmId, Moment)>,
     /// When this VM learned from an answer or a peer that it leaves.
     left_at: Option<Moment>,
     /// When its registration ended, if that was while the store was failing.
@@ -122,6 +129,8 @@
             reported_load: None,
             limit: None,
             pause: None,
+            cold: None,
+            lost_by: None,
             left_at: None,
             ended_at: None,
             moved_at: None,
@@ -166,10 +175,13 @@
             && !self.has_moved(now)
     }
 
-    /// Returns true if neither a limit nor a pause holds a request to the target back.
+    /// Returns true if neither a limit nor a pause nor coldness holds a request to the
+    /// target back.
     fn is_permitted(&self, query: &Query<'_>) -> bool {
         let is_paused = self.pause.is_some_and(|it| !it.permits(self.requests, query.now));
-        !is_paused && self.permitted_at(query) <= query.now
+        !is_paused
+            && self.warm_or_turn_at(query.now) <= query.now
+            && self.permitted_at(query) <= query.now
     }
 
     fn has_moved(&self, now: Moment) -> bool {
@@ -210,6 +222,7 @@
     ids_by_hash: HashMap<TargetHash, TargetId>,
     data_centres: data_centre::State,
     limit_news: limit::News,
+    cold: cold::Shared,
     /// Targets that have said that they leave.
     left: BTreeMap<TargetId, leaving::Left>,
     leaving_news: News<Leaving>,
@@ -263,6 +276,9 @@
                 }
             }
         }
+        if update.snapshot {
+            self.cold.record_snapshot(ctx.at);
+        }
         crashes
     }
 
@@ -278,6 +294,7 @@
         let Some(entry) = self.entries.get_mut(id) else {
             out.log(registration_record(id, target, row.version));
             let mut entry = Entry::new(id, target.clone(), row.version);
+            entry.start_cold(id, &self.cold, ctx.at, out);
             entry.left_at = self.left.get(id).and_then(|left| left.since(target));
             self.ids_by_hash.insert(entry.hash, id.clone());
             self.entries.insert(id.clone(), entry);
@@ -299,6 +316,7 @@
             out.push(Effect::CloseConnections(entry.target.address));
             let (requests, backlog) = (entry.requests, entry.backlog);
             *entry = Entry { requests, backlog, ..Entry::new(id, target.clone(), row.version) };
+            entry.start_cold(id, &self.cold, ctx.at, out);
             entry.left_at = self.left.get(id).and_then(|left| left.since(target));
             if entry.left_at.is_none() {
                 self.left.remove(id);
@@ -306,6 +324,9 @@
             return;
         }
         entry.target = target.clone();
+        if entry.version < row.version {
+            entry.learn_row(id, &self.cold, ctx.at, out);
+        }
         entry.version = row.version;
         entry.ended_at = None;
         entry.moved_at = None;
@@ -363,7 +384,7 @@
     }
 
     /// Returns the targets of a pool that may get a request, except those in
-    /// `tried` and those that a limit or a pause holds back. Targets whose registration
+    /// `tried` and those that a limit, a pause or coldness holds back. Targets whose registration
     /// ended while the store was failing, and those that have just begun to leave, are
     /// returned only if the pool has no others, even if these have been tried or are held
     /// back.
@@ -414,6 +435,7 @@
         entry.requests += 1;
         entry.backlog += tokens;
         entry.record_limited_send(vms, now);
+        entry.record_cold_send(now);
     }
 
     /// Removes prompt tokens that a target has read from its backlog.
@@ -454,6 +476,7 @@
         if report.is_leaving {
             self.record_leaving(ctx, id, out);
         }
+        self.record_coldness(ctx, id, report.cold, out);
         self.record_limit(ctx, id, report.limit, ok, vms, out);
     }
 
@@ -461,6 +484,7 @@
     pub fn record_answer(&mut self, id: &TargetId, ok: bool, now: Moment) {
         if let Some(entry) = self.entries.get_mut(id) {
             entry.health.record_answer(ok, now);
+            entry.record_found(self.cold.slow_start(&entry.target), now);
             if ok && entry.pause.as_mut().is_some_and(|pause| pause.record_answer(now)) {
                 entry.pause = None;
             }
--- a/crates/gateway/tests/all/main.rs
+++ b/crates/gateway/tests/all/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the gateway reducer in virtual time.
 
 mod changes;
+mod cold;
 mod delegate;
 mod drain;
 mod fleet;
--- a/crates/gateway/tests/all/world.rs
+++ b/crates/gateway/tests/all/world.rs
@@ -254,6 +254,7 @@
         slots: 8,
         status: Status::Ready,
         start: None,
+        warmup_left: Some(Span::ZERO),
     })
 }
 
@@ -304,6 +305,7 @@
         id: "desk".parse().unwrap(),
         max_connections: 60,
         engine: Some(Engine { slots: 8, memory_tokens: 200_000 }),
+        slow_start: None,
     };
     let account = Account { id: "bakery".parse().unwrap(), priority: None };
     let catalog = Catalog::builder(Revision(revision))
--- a/crates/model/src/fleet/vm.rs
+++ b/crates/model/src/fleet/vm.rs
@@ -29,7 +29,12 @@
     let mut catalog = Catalog::builder(Revision(1));
     for (is_engine, spec) in [(true, Some(spec)), (false, None)] {
         let max_connections = 100_000;
-        catalog = catalog.pool(Pool { id: pool(is_engine), max_connections, engine: spec });
+        catalog = catalog.pool(Pool {
+            id: pool(is_engine),
+            max_connections,
+            engine: spec,
+            slow_start: None,
+        });
     }
     for workload in &scenario.workloads {
         let route = Route::builder(workload.name, "model.example", &format!("/{}/", workload.name))
--- a/crates/model/src/target.rs
+++ b/crates/model/src/target.rs
@@ -75,6 +75,7 @@
             slots,
             status,
             start: None,
+            warmup_left: None,
         })
     }
 
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -20,5 +20,6 @@
 pub mod retry;
 pub mod retry_window;
 pub mod selection;
+pub mod slow_start;
 pub mod spread;
 pub mod token;
--- a/crates/routing/tests/all/main.rs
+++ b/crates/routing/tests/all/main.rs
@@ -9,5 +9,6 @@
 mod rank;
 mod retry_window;
 mod selection;
+mod slow_start;
 mod spread;
 mod token;
--- a/crates/store/src/registry.rs
+++ b/crates/store/src/registry.rs
@@ -43,6 +43,8 @@
     /// Start number of its process, if it registers one. A target that restarts
     /// with the same id has a larger one.
     pub start: Option<StartNumber>,
+    /// How long it remained cold when it wrote this; `None` if it does not tell.
+    pub warmup_left: Option<Span>,
 }
 
 /// The registration of an entry VM.
