Treat lost targets as cold, and tell slow ones apart

Cause: a target that crashes and answers again at its address is cold before its row says so. A target that only answers late is not lost.

Change: two unanswered requests in a row, a failed connection, or two peers that report it within 1.5 s make a target lost.

--- a/crates/gateway/src/limit.rs
+++ b/crates/gateway/src/limit.rs
@@ -244,3 +244,10 @@
 /// Longest time for which a target counts as cold after its last word. Starts take some
 /// seconds; an odd figure must not keep a target out for ever.
 pub const MAX_COLD_TIME: Span = Span::from_secs(60);
+/// Consecutive requests that a target does not answer in time, without an answer between
+/// them, from which it counts as lost rather than slow.
+pub const LOST_FAILURES: u32 = 2;
+/// Time within which two peers must report that they can't reach a target: twice the
+/// interval of heartbeats in a fleet of 80 VMs, and less than that of chance failures on
+/// bad links.
+pub const LOSS_WINDOW: Span = Span::from_millis(1_500);
--- a/crates/gateway/src/request/state.rs
+++ b/crates/gateway/src/request/state.rs
@@ -297,10 +297,11 @@
         End::NotRun { .. } if asks_for_pause => {}
         End::Failed { .. } | End::NotRun { .. } => targets.record_answer(target, false, at),
         End::NotSent { .. } | End::AnswerTimeout => {
-            targets.record_lost(step.ctx, target, step.out);
             for crash in targets.record_unreachable(target, at) {
                 step.view.poison.record_crash(step.ctx, crash, step.out);
             }
+            let is_silent = matches!(end, End::AnswerTimeout);
+            targets.record_failure(step.ctx, target, is_silent, step.out);
         }
         End::Interrupted { .. } => {
             targets.record_interruption(target, pending.interruption(active, at));
--- a/crates/gateway/src/target/cold.rs
+++ b/crates/gateway/src/target/cold.rs
@@ -21,8 +21,8 @@
 
 use super::{Entry, State};
 use crate::limit::{
-    COLD_START_WAIT, LOST_TARGET_TIME, LOST_TARGETS_DIVISOR, MAX_COLD_TIME, MAX_FEEDER_AGE,
-    MAX_ROW_AGE, MEMBERSHIP_INTERVAL,
+    COLD_START_WAIT, LOSS_WINDOW, LOST_FAILURES, LOST_TARGET_TIME, LOST_TARGETS_DIVISOR,
+    MAX_COLD_TIME, MAX_FEEDER_AGE, MAX_ROW_AGE, MEMBERSHIP_INTERVAL,
 };
 use crate::{Context, Output, peer};
 
@@ -276,8 +276,23 @@
         }
     }
 
-    /// Records that a target could not be reached or did not answer in time. It may have
-    /// restarted when it answers again.
+    /// Records that a target did not answer in time (`is_silent`) or could not be reached.
+    /// One that is only slow answers other requests.
+    pub fn record_failure(
+        &mut self,
+        ctx: &Context<'_>,
+        id: &TargetId,
+        is_silent: bool,
+        out: &mut Output,
+    ) {
+        let failures = self.entries.get(id).map_or(0, |entry| entry.health.failures());
+        if !is_silent || LOST_FAILURES <= failures {
+            self.record_lost(ctx, id, out);
+        }
+    }
+
+    /// Records that a target could not be reached. It may have restarted when it answers
+    /// again.
     pub fn record_lost(&mut self, ctx: &Context<'_>, id: &TargetId, out: &mut Output) {
         let Some(entry) = self.entries.get_mut(id) else { return };
         let Some(slow_start) = self.cold.slow_start(&entry.target) else { return };
@@ -302,7 +317,7 @@
             let Some(entry) = self.entries.get_mut(&id) else { continue };
             let earlier = entry.lost_by.replace((from.clone(), ctx.at));
             let is_confirmed =
-                earlier.is_some_and(|(vm, at)| vm != *from && ctx.at.since(at) < LOST_TARGET_TIME);
+                earlier.is_some_and(|(vm, at)| vm != *from && ctx.at.since(at) < LOSS_WINDOW);
             if is_confirmed && entry.health.is_paused(ctx.at) {
                 self.record_lost(ctx, &id, out);
             }
--- a/crates/gateway/tests/all/cold.rs
+++ b/crates/gateway/tests/all/cold.rs
@@ -8,8 +8,10 @@
 use briarshift_gateway::target::Report;
 use briarshift_store::registry::{Name, Target, Value};
 use briarshift_units::{Moment, RequestRate, Revision, Span, StartNumber};
+use briarshift_wire::datagram::Datagram;
+use briarshift_wire::heartbeat::{Failure, TargetHash};
 
-use crate::world::{World, changes, expect_send, member, not_sent, target};
+use crate::world::{World, changes, expect_send, heartbeat, member, not_sent, target};
 
 const SLOW_START: SlowStart = SlowStart { time: Span::from_secs(10), rate: RequestRate(11_000) };
 /// The most requests that the operators permit a cold target in a second.
@@ -179,6 +181,15 @@
     let (most, total) = fleet.most_per_second("cold");
     assert!(most <= BOUND, "{most} in a second");
     assert!(10 <= total, "{total} in all");
+    // It becomes warm, and cold again.
+    fleet.tell(0..12, &row("cold-1", Some(0), 1));
+    fleet.run(2_000, 1_200);
+    fleet.tell(0..12, &row("cold-1", Some(10_000), 1));
+    fleet.arrivals.clear();
+    fleet.run(4_000, 1_200);
+    let (most, total) = fleet.most_per_second("cold");
+    assert!(most <= BOUND, "{most} in a second");
+    assert!(15 <= total, "{total} in all");
 }
 
 /// A data centre of targets returns to 81 VMs, a third of which hear nothing; six have just
@@ -405,3 +416,46 @@
         (0..40).map(|_| expect_send(world.arrive("/open/a")).target).collect();
     assert_eq!(targets.len(), 5);
 }
+
+/// Reports of peers that a target is down.
+#[test]
+fn a_target_that_two_peers_can_not_reach_is_lost() {
+    let targets = ["t-1", "t-2", "t-3"];
+    let peers = ["vm-1", "vm-2", "vm-3"].map(str::to_owned);
+    let failure = Failure { target: TargetHash::of("t-1"), count: 1, down: true };
+    let check = |reports: &[(&str, u64)], expected: usize| {
+        let mut world = start("vm-1", &peers, &targets, SLOW_START.into());
+        for (sequence, (vm, wait)) in reports.iter().enumerate() {
+            pass(&mut world, *wait);
+            let Kind::Datagram(Datagram::Heartbeat(mut report)) =
+                heartbeat(vm, sequence as u64 + 1)
+            else {
+                unreachable!()
+            };
+            report.failures = vec![failure];
+            world.apply(Kind::Datagram(Datagram::Heartbeat(report)));
+        }
+        assert_eq!(logged(&world, "target_cold").len(), expected, "{reports:?}");
+    };
+    check(&[("vm-2", 0), ("vm-3", 800)], 1);
+    check(&[("vm-2", 0), ("vm-2", 800)], 0);
+    check(&[("vm-2", 0), ("vm-3", 4_000)], 0);
+}
+
+/// It answers late, and it is silent.
+#[test]
+fn a_slow_target_is_not_lost() {
+    for (answers, lost) in [(true, 0), (false, 1)] {
+        let mut world = settled(&["t-1"], SLOW_START.into());
+        for _ in 0..2 {
+            let send = expect_send(world.arrive("/open/a"));
+            let other = expect_send(world.arrive("/open/a"));
+            if answers {
+                world.end(&other, End::Complete { ok: true });
+            }
+            world.end(&send, End::AnswerTimeout);
+            pass(&mut world, 1_000);
+        }
+        assert_eq!(logged(&world, "target_cold").len(), lost);
+    }
+}
--- a/crates/routing/src/health.rs
+++ b/crates/routing/src/health.rs
@@ -88,6 +88,24 @@
         now < self.paused_until
     }
 
+    /// Returns the number of consecutive failures to reach the target since its last answer,
+    /// of which those that came together count as one.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use briarshift_routing::health::Health;
+    /// use briarshift_units::Moment;
+    /// let mut health = Health::default();
+    /// health.record_unreachable(Moment(0));
+    /// assert_eq!(health.failures(), 1);
+    /// health.record_answer(true, Moment(1));
+    /// assert_eq!(health.failures(), 0);
+    /// ```
+    pub fn failures(&self) -> u32 {
+        self.failures
+    }
+
     /// Returns the fraction of recent answers that failed, 0 to 1.
     pub fn error_rate(&self, now: Moment) -> f64 {
         let half_lives = now.since(self.updated_at).as_secs_f64() / ERROR_HALF_LIFE.as_secs_f64();
