--- a/crates/gateway/src/target/mod.rs
+++ b/crates/gateway/src/target/mod.rs
@@ -5,6 +5,7 @@
 //! are silent, the load that the target itself reports in its answers is used
 //! if it is larger and recent.
 
+mod cold;
 mod data_centre;
 mod evacuation;
 mod leaving;
@@ -19,7 +20,7 @@
 use briarshift_store::Version;
 use briarshift_store::registry::{Name, Row, Status, Target, Value};
 use briarshift_units::{
-    DataCentre, Fingerprint, Moment, PartId, PoolId, RequestRate, Span, StartNumber, TargetId,
+    DataCentre, Fingerprint, Moment, PartId, PoolId, RequestRate, Span, StartNumber, TargetId, VmId,
 };
 use briarshift_wire::heartbeat::{self, Failure, TargetHash};
 use briarshift_wire::leaving::Leaving;
@@ -43,6 +44,8 @@
     pub is_leaving: bool,
     /// Time for which it wants no requests from this VM, if it names one.
     pub pause: Option<Span>,
+    /// How long it remains cold, if it tells.
+    pub cold: Option<Span>,
 }
 
 /// The load that a target reports.
@@ -99,6 +102,10 @@
     limit: Option<limit::Active>,
     /// The pause that it asked this VM for, and the recovery after it.
     pause: Option<Pause>,
+    /// Until when it is cold, and this VM's turns meanwhile.
+    cold: Option<cold::Cold>,
+    /// The peer that last could not reach it, and when it said so.
+    lost_by: Option<(VmId, Moment)>,
     /// When this VM learned from an answer or a peer that it leaves.
     left_at: Option<Moment>,
     /// What operators want of its data centre.
@@ -125,6 +132,8 @@
             reported_load: None,
             limit: None,
             pause: None,
+            cold: None,
+            lost_by: None,
             left_at: None,
             standing: evacuation::Standing::default(),
             ended_at: None,
@@ -172,10 +181,13 @@
             && !self.has_moved(now)
     }
 
-    /// Returns true if neither a limit nor a pause holds a request to the target back.
+    /// Returns true if neither a limit nor a pause nor coldness holds a request to the
+    /// target back.
     fn is_permitted(&self, query: &Query<'_>) -> bool {
         let is_paused = self.pause.is_some_and(|it| !it.permits(self.requests, query.now));
-        !is_paused && self.permitted_at(query) <= query.now
+        !is_paused
+            && self.warm_or_turn_at(query.now) <= query.now
+            && self.permitted_at(query) <= query.now
     }
 
     fn has_moved(&self, now: Moment) -> bool {
@@ -220,6 +232,7 @@
     data_centres: data_centre::State,
     evacuations: evacuation::Words,
     limit_news: limit::News,
+    cold: cold::Shared,
     /// Targets that have said that they leave.
     left: BTreeMap<TargetId, leaving::Left>,
     leaving_news: News<Leaving>,
@@ -275,6 +288,9 @@
             }
         }
         self.update_evacuations(ctx, update, !is_first, out);
+        if update.snapshot {
+            self.cold.record_snapshot(ctx.at);
+        }
         crashes
     }
 
@@ -290,6 +306,7 @@
         let Some(entry) = self.entries.get_mut(id) else {
             out.log(registration_record(id, target, row.version));
             let mut entry = Entry::new(id, target.clone(), row.version);
+            entry.start_cold(id, &self.cold, ctx.at, out);
             entry.left_at = self.left.get(id).and_then(|left| left.since(target));
             self.ids_by_hash.insert(entry.hash, id.clone());
             self.entries.insert(id.clone(), entry);
@@ -311,6 +328,7 @@
             out.push(Effect::CloseConnections(entry.target.address));
             let (requests, backlog) = (entry.requests, entry.backlog);
             *entry = Entry { requests, backlog, ..Entry::new(id, target.clone(), row.version) };
+            entry.start_cold(id, &self.cold, ctx.at, out);
             entry.left_at = self.left.get(id).and_then(|left| left.since(target));
             if entry.left_at.is_none() {
                 self.left.remove(id);
@@ -318,6 +336,9 @@
             return;
         }
         entry.target = target.clone();
+        if entry.version < row.version {
+            entry.learn_row(id, &self.cold, ctx.at, out);
+        }
         entry.version = row.version;
         entry.ended_at = None;
         entry.moved_at = None;
@@ -375,11 +396,11 @@
     }
 
     /// Returns the targets of a pool that may get a request, except those in
-    /// `tried` and those that a limit or a pause holds back. Targets of a data centre that
-    /// has been taken back are left out for a while if there are others. Targets whose registration
-    /// ended while the store was failing, and those that have just begun to leave, are
-    /// returned only if the pool has no others, even if these have been tried or are held
-    /// back.
+    /// `tried` and those that a limit, a pause or coldness holds back. Targets of a data
+    /// centre that has been taken back are left out for a while if there are others. Targets
+    /// whose registration ended while the store was failing, and those that have just begun
+    /// to leave, are returned only if the pool has no others, even if these have been tried or
+    /// are held back.
     pub fn candidates<'a>(
         &'a self,
         query: &Query<'_>,
@@ -435,6 +456,7 @@
         entry.requests += 1;
         entry.backlog += tokens;
         entry.record_limited_send(vms, now);
+        entry.record_cold_send(now);
     }
 
     /// Removes prompt tokens that a target has read from its backlog.
@@ -475,6 +497,7 @@
         if report.is_leaving {
             self.record_leaving(ctx, id, out);
         }
+        self.record_coldness(ctx, id, report.cold, out);
         self.record_limit(ctx, id, report.limit, ok, vms, out);
     }
 
@@ -482,6 +505,7 @@
     pub fn record_answer(&mut self, id: &TargetId, ok: bool, now: Moment) {
         if let Some(entry) = self.entries.get_mut(id) {
             entry.health.record_answer(ok, now);
+            entry.record_found(self.cold.slow_start(&entry.target), now);
             if ok && entry.pause.as_mut().is_some_and(|pause| pause.record_answer(now)) {
                 entry.pause = None;
             }
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -21,5 +21,6 @@
 pub mod retry;
 pub mod retry_window;
 pub mod selection;
+pub mod slow_start;
 pub mod spread;
 pub mod token;
