--- a/crates/gateway/src/request/explain.rs
+++ b/crates/gateway/src/request/explain.rs
@@ -107,7 +107,7 @@
 pub struct PassedOver {
     /// The target.
     pub target: TargetId,
-    /// Why, such as `leaving`, `limit` or `pause`.
+    /// Why, such as `evacuated`, `cold`, `leaving`, `limit` or `pause`.
     pub reason: SmolStr,
 }
 
--- a/crates/gateway/src/target/mod.rs
+++ b/crates/gateway/src/target/mod.rs
@@ -5,7 +5,9 @@
 //! are silent, the load that the target itself reports in its answers is used
 //! if it is larger and recent.
 
+mod cold;
 mod data_centre;
+mod evacuation;
 mod exclusion;
 mod leaving;
 mod limit;
@@ -19,7 +21,7 @@
 use briarshift_store::Version;
 use briarshift_store::registry::{Name, Row, Status, Target, Value};
 use briarshift_units::{
-    DataCentre, Fingerprint, Moment, PartId, PoolId, RequestRate, Span, StartNumber, TargetId,
+    DataCentre, Fingerprint, Moment, PartId, PoolId, RequestRate, Span, StartNumber, TargetId, VmId,
 };
 use briarshift_wire::heartbeat::{self, Failure, TargetHash};
 use briarshift_wire::leaving::Leaving;
@@ -43,6 +45,8 @@
     pub is_leaving: bool,
     /// Time for which it wants no requests from this VM, if it names one.
     pub pause: Option<Span>,
+    /// How long it remains cold, if it tells.
+    pub cold: Option<Span>,
 }
 
 /// The load that a target reports.
@@ -99,8 +103,14 @@
     limit: Option<limit::Active>,
     /// The pause that it asked this VM for, and the recovery after it.
     pause: Option<Pause>,
+    /// Until when it is cold, and this VM's turns meanwhile.
+    cold: Option<cold::Cold>,
+    /// The peer that last could not reach it, and when it said so.
+    lost_by: Option<(VmId, Moment)>,
     /// When this VM learned from an answer or a peer that it leaves.
     left_at: Option<Moment>,
+    /// What operators want of its data centre.
+    standing: evacuation::Standing,
     /// When its registration ended, if that was while the store was failing.
     ended_at: Option<Moment>,
     /// When another target last answered at its address.
@@ -123,7 +133,10 @@
             reported_load: None,
             limit: None,
             pause: None,
+            cold: None,
+            lost_by: None,
             left_at: None,
+            standing: evacuation::Standing::default(),
             ended_at: None,
             moved_at: None,
             interrupted: Vec::new(),
@@ -154,6 +167,7 @@
     /// Returns true if the target accepts requests, as far as this VM knows.
     pub fn is_ready(&self, now: Moment) -> bool {
         self.target.status == Status::Ready
+            && !self.is_evacuated()
             && self.left_at.is_none()
             && self.ended_at.is_none()
             && !self.has_moved(now)
@@ -163,14 +177,18 @@
     /// registration ended while the store was failing, or it has just begun to leave.
     fn is_last_resort(&self, now: Moment) -> bool {
         self.target.status == Status::Ready
+            && !self.is_evacuated()
             && self.left_at.is_none_or(|at| now.since(at) < LAST_USE_OF_LEAVING)
             && !self.has_moved(now)
     }
 
-    /// Returns true if neither a limit nor a pause holds a request to the target back.
+    /// Returns true if neither a limit nor a pause nor coldness holds a request to the
+    /// target back.
     fn is_permitted(&self, query: &Query<'_>) -> bool {
         let is_paused = self.pause.is_some_and(|it| !it.permits(self.requests, query.now));
-        !is_paused && self.permitted_at(query) <= query.now
+        !is_paused
+            && self.warm_or_turn_at(query.now) <= query.now
+            && self.permitted_at(query) <= query.now
     }
 
     fn has_moved(&self, now: Moment) -> bool {
@@ -199,6 +217,9 @@
     pub all_peers_live: bool,
     /// Whether peers learn where the request goes, because its prompt has shared parts.
     pub is_shared_prompt: bool,
+    /// Decides when the request may go to a data centre that has been taken back: the key
+    /// of its prompt, or a random number.
+    pub readmission_key: u64,
     /// The current time.
     pub now: Moment,
 }
@@ -210,7 +231,9 @@
     entries: BTreeMap<TargetId, Entry>,
     ids_by_hash: HashMap<TargetHash, TargetId>,
     data_centres: data_centre::State,
+    evacuations: evacuation::Words,
     limit_news: limit::News,
+    cold: cold::Shared,
     /// Targets that have said that they leave.
     left: BTreeMap<TargetId, leaving::Left>,
     leaving_news: News<Leaving>,
@@ -241,6 +264,7 @@
         out: &mut Output,
     ) -> Vec<CrashedRequest> {
         let mut crashes = Vec::new();
+        let is_first = update.snapshot && self.entries.is_empty();
         if update.snapshot {
             let is_listed =
                 |id: &TargetId| update.rows.iter().any(|row| row.name == Name::Target(id.clone()));
@@ -264,6 +288,10 @@
                 }
             }
         }
+        self.update_evacuations(ctx, update, !is_first, out);
+        if update.snapshot {
+            self.cold.record_snapshot(ctx.at);
+        }
         crashes
     }
 
@@ -279,6 +307,7 @@
         let Some(entry) = self.entries.get_mut(id) else {
             out.log(registration_record(id, target, row.version));
             let mut entry = Entry::new(id, target.clone(), row.version);
+            entry.start_cold(id, &self.cold, ctx.at, out);
             entry.left_at = self.left.get(id).and_then(|left| left.since(target));
             self.ids_by_hash.insert(entry.hash, id.clone());
             self.entries.insert(id.clone(), entry);
@@ -300,6 +329,7 @@
             out.push(Effect::CloseConnections(entry.target.address));
             let (requests, backlog) = (entry.requests, entry.backlog);
             *entry = Entry { requests, backlog, ..Entry::new(id, target.clone(), row.version) };
+            entry.start_cold(id, &self.cold, ctx.at, out);
             entry.left_at = self.left.get(id).and_then(|left| left.since(target));
             if entry.left_at.is_none() {
                 self.left.remove(id);
@@ -307,6 +337,9 @@
             return;
         }
         entry.target = target.clone();
+        if entry.version < row.version {
+            entry.learn_row(id, &self.cold, ctx.at, out);
+        }
         entry.version = row.version;
         entry.ended_at = None;
         entry.moved_at = None;
@@ -364,10 +397,11 @@
     }
 
     /// Returns the targets of a pool that may get a request, except those in
-    /// `tried` and those that a limit or a pause holds back. Targets whose registration
-    /// ended while the store was failing, and those that have just begun to leave, are
-    /// returned only if the pool has no others, even if these have been tried or are held
-    /// back.
+    /// `tried` and those that a limit, a pause or coldness holds back. Targets of a data
+    /// centre that has been taken back are left out for a while if there are others. Targets
+    /// whose registration ended while the store was failing, and those that have just begun
+    /// to leave, are returned only if the pool has no others, even if these have been tried or
+    /// are held back.
     pub fn candidates<'a>(
         &'a self,
         query: &Query<'_>,
@@ -385,7 +419,16 @@
             true => entry.is_ready(now),
             false => entry.is_last_resort(now),
         };
-        self.entries.iter().filter(of_pool).filter(is_usable).map(candidate).collect()
+        let mut usable: Vec<_> = self.entries.iter().filter(of_pool).filter(is_usable).collect();
+        let is_readmitted = |(_, entry): &(&TargetId, &Entry)| entry.is_readmitted(query);
+        if usable.iter().any(|it| is_readmitted(it) && self.is_healthy(it.1, now)) {
+            usable.retain(is_readmitted);
+        }
+        usable.into_iter().map(candidate).collect()
+    }
+
+    fn is_healthy(&self, entry: &Entry, now: Moment) -> bool {
+        !entry.health.is_paused(now) && !self.data_centres.is_cut_off(&entry.target.data_centre)
     }
 
     fn candidate<'a>(
@@ -402,8 +445,7 @@
             backlog,
             slots: entry.target.slots,
             local: entry.target.data_centre == *data_centre,
-            healthy: !entry.health.is_paused(now)
-                && !self.data_centres.is_cut_off(&entry.target.data_centre),
+            healthy: self.is_healthy(entry, now),
             error_rate: entry.health.error_rate(now),
         }
     }
@@ -415,6 +457,7 @@
         entry.requests += 1;
         entry.backlog += tokens;
         entry.record_limited_send(vms, now);
+        entry.record_cold_send(now);
     }
 
     /// Removes prompt tokens that a target has read from its backlog.
@@ -455,6 +498,7 @@
         if report.is_leaving {
             self.record_leaving(ctx, id, out);
         }
+        self.record_coldness(ctx, id, report.cold, out);
         self.record_limit(ctx, id, report.limit, ok, vms, out);
     }
 
@@ -462,6 +506,7 @@
     pub fn record_answer(&mut self, id: &TargetId, ok: bool, now: Moment) {
         if let Some(entry) = self.entries.get_mut(id) {
             entry.health.record_answer(ok, now);
+            entry.record_found(self.cold.slow_start(&entry.target), now);
             if ok && entry.pause.as_mut().is_some_and(|pause| pause.record_answer(now)) {
                 entry.pause = None;
             }
--- a/crates/gateway/tests/all/main.rs
+++ b/crates/gateway/tests/all/main.rs
@@ -1,8 +1,10 @@
 //! Tests of the gateway reducer in virtual time.
 
 mod changes;
+mod cold;
 mod delegate;
 mod drain;
+mod evacuation;
 mod explain;
 mod fleet;
 mod leaving;
