Test evacuations: properties, prompts that return, reads of the store

Cause: the evacuation's tests covered single cases.

Change: the property over several reducers (changes.rs) evacuates and takes back a data centre: what a VM has seen is undone only by a later word, and each change is known in time. A replay of six VMs counts the keys that return each second, with a VM lost and another one cut off from the store.

--- a/crates/gateway/tests/all/changes.rs
+++ b/crates/gateway/tests/all/changes.rs
@@ -28,6 +28,9 @@
 /// How old a page of a snapshot may be.
 const MAX_STALENESS: Span = Span::from_millis(1_500);
 const TARGETS: [&str; 3] = ["t-1", "t-2", "t-3"];
+/// A target whose row never changes, in a data centre that operators evacuate.
+const EVACUEE: &str = "t-9";
+const EVACUATED: &str = "c";
 const MAX_VMS: usize = 6;
 
 #[derive(Debug, Clone)]
@@ -39,6 +42,8 @@
     TargetLapses(usize),
     TargetRewrites(usize),
     ConfigChanges(usize),
+    Evacuate,
+    TakeBack,
     VmIsKilled(usize, Span),
     VmIsPaused(usize, Span),
     VmLosesTheStore(usize, Span),
@@ -58,6 +63,8 @@
         2 => target().prop_map(Action::TargetLapses),
         1 => target().prop_map(Action::TargetRewrites),
         2 => (1..30_usize).prop_map(Action::ConfigChanges),
+        2 => proptest::strategy::Just(Action::Evacuate),
+        2 => proptest::strategy::Just(Action::TakeBack),
         4 => (vm(), time()).prop_map(|(vm, time)| Action::VmIsKilled(vm, time)),
         2 => (vm(), time()).prop_map(|(vm, time)| Action::VmIsPaused(vm, time)),
         2 => (vm(), time()).prop_map(|(vm, time)| Action::VmLosesTheStore(vm, time)),
@@ -149,9 +156,12 @@
             Call::ReadChanges { after, .. } if after.0 < self.dropped => Err(Error::Compacted),
             Call::ReadChanges { after, .. } => reply(self.changes(after.0, at), version),
             Call::ReadCatalog { after } => {
-                let after = if after.0 < self.dropped { 0 } else { after.0 };
-                let mut rows = self.changes(after, at);
-                rows.retain(|name, _| *name == Name::Catalog);
+                // Without the history, the reply does not tell which rows were deleted.
+                let mut rows = match after.0 < self.dropped {
+                    true => self.rows(at),
+                    false => self.changes(after.0, at),
+                };
+                rows.retain(|name, _| matches!(name, Name::Catalog | Name::Evacuation(_)));
                 reply(rows, version)
             }
             Call::Register { member, .. } => {
@@ -178,6 +188,8 @@
     /// When its last disturbance ends.
     disturbed_until: Moment,
     revision: Revision,
+    /// Index of the change of [`Facts::evacuations`] that it knows, the earliest possible.
+    evacuation: usize,
 }
 
 enum Delivery {
@@ -191,6 +203,8 @@
     /// Targets that accept nothing.
     gone: BTreeMap<TargetId, Moment>,
     revisions: Vec<(Moment, u64)>,
+    /// When the data centre was evacuated (true) and taken back (false), in turn.
+    evacuations: Vec<(Moment, bool)>,
 }
 
 struct Net {
@@ -226,6 +240,11 @@
         for index in 0..TARGETS.len() {
             net.write_target(index, Status::Ready);
         }
+        net.facts.evacuations.push((net.now, false));
+        let Value::Target(row) = target(EVACUEE, "desk") else { unreachable!() };
+        let row = Target { data_centre: EVACUATED.parse().unwrap(), ..row };
+        let name = Name::Target(EVACUEE.parse().unwrap());
+        net.store.put(name, Some(Value::Target(row)), net.now);
         (0..vms).for_each(|_| net.add_vm());
         net
     }
@@ -265,6 +284,15 @@
         self.facts.gone.entry(TARGETS[index].parse().unwrap()).or_insert(self.now);
     }
 
+    /// Operators may write the row again while it exists.
+    fn set_evacuated(&mut self, is_evacuated: bool) {
+        let name = Name::Evacuation(EVACUATED.parse().unwrap());
+        self.store.put(name, is_evacuated.then_some(Value::Evacuation), self.now);
+        if self.facts.evacuations.last().is_none_or(|(_, last)| *last != is_evacuated) {
+            self.facts.evacuations.push((self.now, is_evacuated));
+        }
+    }
+
     fn add_vm(&mut self) {
         if self.vms.len() < MAX_VMS {
             let state = State::new(self.identity(self.vms.len()));
@@ -277,6 +305,7 @@
                 no_peers_until: Moment(0),
                 disturbed_until: self.now,
                 revision: Revision(0),
+                evacuation: 0,
             });
         }
     }
@@ -321,6 +350,8 @@
                 }
             }
             Action::ConfigChanges(times) => (0..times).for_each(|_| self.change_config()),
+            Action::Evacuate => self.set_evacuated(true),
+            Action::TakeBack => self.set_evacuated(false),
             Action::VmIsAdded => self.add_vm(),
             Action::HistoryIsLost => {
                 self.store.dropped = self.store.version(now);
@@ -333,6 +364,7 @@
                     vm.state = State::new(identity);
                     vm.start = self.starts;
                     vm.revision = Revision(0);
+                    vm.evacuation = 0;
                     vm.down_until = now + time;
                     vm.disturbed_until = vm.disturbed_until.max(now + time);
                 }
@@ -456,6 +488,15 @@
             let revision = vm.state.status(now).revision;
             assert!(vm.revision <= revision, "vm-{index}: {revision} after {}", vm.revision);
             vm.revision = revision;
+            // What a VM knows of the data centre only follows what operators did later.
+            let known = vm.state.targets().get(&EVACUEE.parse().unwrap());
+            let known = known.map(|entry| entry.is_evacuated());
+            if let Some(known) = known {
+                let later = self.facts.evacuations.iter().skip(vm.evacuation);
+                let next = later.clone().position(|(_, is_evacuated)| *is_evacuated == known);
+                assert!(next.is_some(), "vm-{index} went back: evacuated {known}");
+                vm.evacuation += next.unwrap_or_default();
+            }
             if !is_stable || now.since(vm.disturbed_until) < STABLE_WINDOW {
                 continue;
             }
@@ -468,6 +509,11 @@
                 let age = now.since(*at);
                 assert!(!is_ready, "vm-{index} uses {id} {age} after it left");
             }
+            let due_evacuation = self.facts.evacuations.iter().rposition(|(at, _)| due(*at));
+            let due_evacuation = due_evacuation.unwrap_or(0);
+            let mut allowed = self.facts.evacuations.iter().skip(due_evacuation);
+            let is_allowed = allowed.any(|(_, is_evacuated)| known == Some(*is_evacuated));
+            assert!(is_allowed, "vm-{index}: evacuated {known:?}, change {due_evacuation} is due");
             let known = self.facts.revisions.iter().rev().find(|(at, _)| due(*at));
             let known = Revision(known.map_or(0, |(_, revision)| *revision));
             assert!(known <= revision, "vm-{index} uses {revision}, {known} is due");
@@ -488,6 +534,9 @@
                 });
                 assert_eq!(known, stored.as_ref(), "vm-{index}, {gone:?}");
             }
+            let evacuee = vm.state.targets().get(&EVACUEE.parse().unwrap()).unwrap();
+            let is_evacuated = self.facts.evacuations.last().is_some_and(|it| it.1);
+            assert_eq!(evacuee.is_evacuated(), is_evacuated, "vm-{index}");
         }
     }
 }
--- a/crates/gateway/tests/all/evacuation.rs
+++ b/crates/gateway/tests/all/evacuation.rs
@@ -1,19 +1,20 @@
 //! Data centres that operators evacuate and take back.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 
 use briarshift_gateway::Kind;
 use briarshift_gateway::request::{Arrival, Cause, Decision, End, Event as Request, Send};
 use briarshift_gateway::target::Report as TargetReport;
 use briarshift_store::registry::{Call, Name, Reply, Row, Target, Value};
 use briarshift_store::{Error, Version};
-use briarshift_units::Span;
+use briarshift_units::{Moment, Span};
 use briarshift_wire::datagram::Datagram;
 use briarshift_wire::evacuation::{Evacuation, Report};
 
 use crate::fleet::{Fleet, address};
 use crate::world::{
-    World, changes, expect_refusal, expect_send, heartbeat, interrupted, member, prompt, target,
+    KEY, World, changes, expect_refusal, expect_send, heartbeat, interrupted, member, prompt,
+    target,
 };
 
 fn evacuation(data_centre: &str) -> Name {
@@ -362,3 +363,87 @@
         fleet.stopped.extend(readers);
     });
 }
+
+/// Number of prompt keys, each of which is asked for every two seconds. The engines can hold
+/// the parts of all of them.
+const KEYS: u64 = 160;
+
+/// Prompts at a fleet of six VMs, of whose eight engines two are in the data centre `b`.
+struct Prompts {
+    fleet: Fleet,
+    sent: u64,
+    /// Prompts that went to `b`, with the time and the key.
+    there: Vec<(Moment, u64)>,
+    elsewhere: Vec<(Moment, u64)>,
+}
+
+impl Prompts {
+    fn run(&mut self, length: Span) {
+        let end = self.fleet.now + length;
+        while self.fleet.now < end {
+            self.fleet.run(Span::from_millis(25), 0.0);
+            for _ in 0..2 {
+                self.send();
+            }
+        }
+    }
+
+    fn send(&mut self) {
+        self.sent += 1;
+        let (key, mut vm) = (self.sent % KEYS, address((self.sent * 7 % 11) as usize % 6));
+        while self.fleet.stopped.contains(&vm) {
+            vm = address(5);
+        }
+        self.fleet.last_send = None;
+        self.fleet.arrive_with(vm, |arrival| {
+            arrival.path = "/chat/a".into();
+            arrival.key = Some(KEY.into());
+            arrival.parts = prompt(1, key);
+        });
+        let send = self.fleet.last_send.take().unwrap();
+        let is_there = send.target.as_str().starts_with("t-b");
+        let sent = if is_there { &mut self.there } else { &mut self.elsewhere };
+        sent.push((self.fleet.now, key));
+    }
+}
+
+/// Chats return in the order of their keys' hashes over eight seconds, and stay, also if a VM
+/// is lost and another one does not reach the store meanwhile.
+#[test]
+fn prompts_return_to_a_data_centre_step_by_step_and_once() {
+    let (there, elsewhere) = (Vec::new(), Vec::new());
+    let mut prompts = Prompts { fleet: Fleet::new(6), sent: 0, there, elsewhere };
+    prompts.run(Span::from_secs(8));
+    // A full engine may pass on a prompt now and then.
+    let mut homes: BTreeMap<u64, usize> = BTreeMap::new();
+    prompts.there.iter().for_each(|(_, key)| *homes.entry(*key).or_default() += 1);
+    homes.retain(|_, count| 3 <= *count);
+    assert!((20..60).contains(&homes.len()), "{}", homes.len());
+    prompts.fleet.write(evacuation("b"), Some(Value::Evacuation));
+    prompts.run(Span::from_secs(2));
+    prompts.there.clear();
+    prompts.run(Span::from_secs(5));
+    assert_eq!(prompts.there.len(), 0);
+
+    prompts.fleet.cut_from_store.insert(address(3));
+    prompts.fleet.write(evacuation("b"), None);
+    let taken_back_at = prompts.fleet.now;
+    prompts.elsewhere.clear();
+    prompts.run(Span::from_secs(5));
+    prompts.fleet.stopped.insert(address(1));
+    prompts.run(Span::from_secs(8));
+    let mut returned = BTreeMap::new();
+    for (at, key) in prompts.there.iter().filter(|(_, key)| homes.contains_key(key)) {
+        returned.entry(*key).or_insert(*at);
+    }
+    let has_left = |(at, key): &&(Moment, u64)| returned.get(key).is_some_and(|since| since < at);
+    let left_again = prompts.elsewhere.iter().filter(has_left).count();
+    let mut by_second = [0; 13];
+    for at in returned.values() {
+        by_second[(at.since(taken_back_at).as_millis() / 1_000) as usize] += 1;
+    }
+    println!("{} keys returned by second {by_second:?}, {left_again} left", homes.len());
+    assert_eq!(returned.len(), homes.len());
+    assert!(by_second.iter().all(|count| *count * 4 <= homes.len()), "{by_second:?}");
+    assert!(left_again <= 1, "{left_again} left");
+}
