Cut off data centres and a lost store in the evacuation's tests; fewer copies of candidates

Cause: two failures halfway had no test, and each decision copied the candidates twice.

Change: tests of a data centre that is cut off from the others, and of a store that is lost once one VM has read the row. Candidates are only copied while a data centre is being readmitted.

--- a/crates/gateway/src/target/evacuation.rs
+++ b/crates/gateway/src/target/evacuation.rs
@@ -54,6 +54,11 @@
         self.words.get(data_centre).map_or(Standing::InUse, |word| word.standing)
     }
 
+    /// Returns true if requests return to a data centre step by step.
+    pub(super) fn has_readmission(&self) -> bool {
+        self.words.values().any(|word| matches!(word.standing, Standing::Readmitted(_)))
+    }
+
     /// Applies a word. Returns true if it changes what its targets get. A data centre that
     /// this VM did not know to be evacuated is not readmitted step by step.
     fn apply(&mut self, ctx: &Context<'_>, evacuation: &Evacuation) -> bool {
--- a/crates/gateway/src/target/mod.rs
+++ b/crates/gateway/src/target/mod.rs
@@ -397,7 +397,11 @@
             true => entry.is_ready(now),
             false => entry.is_last_resort(now),
         };
-        let mut usable: Vec<_> = self.entries.iter().filter(of_pool).filter(is_usable).collect();
+        let usable = self.entries.iter().filter(of_pool).filter(is_usable);
+        if !self.evacuations.has_readmission() {
+            return usable.map(candidate).collect();
+        }
+        let mut usable: Vec<_> = usable.collect();
         let is_readmitted = |(_, entry): &(&TargetId, &Entry)| entry.is_readmitted(query);
         if usable.iter().any(|it| is_readmitted(it) && self.is_healthy(it.1, now)) {
             usable.retain(is_readmitted);
--- a/crates/gateway/tests/all/evacuation.rs
+++ b/crates/gateway/tests/all/evacuation.rs
@@ -364,6 +364,35 @@
     });
 }
 
+#[test]
+fn one_vm_that_knows_is_enough_if_the_store_is_lost() {
+    for size in [6, 81] {
+        let mut fleet = Fleet::new(size);
+        fleet.run(Span::from_secs(6), 0.0);
+        fleet.write(evacuation("b"), Some(Value::Evacuation));
+        let id = "t-b-0".parse().unwrap();
+        let count = |fleet: &Fleet| {
+            let entries = fleet.vms.values().map(|state| state.targets().get(&id).unwrap());
+            entries.filter(|entry| entry.is_evacuated()).count()
+        };
+        while count(&fleet) == 0 {
+            fleet.run(Span::from_millis(25), 0.0);
+        }
+        fleet.cut_from_store.extend((0..size).map(address));
+        fleet.run(Span::from_millis(300), 0.0);
+        assert_eq!(count(&fleet), size);
+    }
+}
+
+/// Its VMs reach the store, and read it themselves.
+#[test]
+fn a_data_centre_that_is_cut_off_knows_in_time() {
+    check_time(81, |fleet| {
+        fleet.cut_off.insert("c");
+        fleet.run(Span::from_secs(3), 0.0);
+    });
+}
+
 /// Number of prompt keys, each of which is asked for every two seconds. The engines can hold
 /// the parts of all of them.
 const KEYS: u64 = 160;
