--- a/crates/gateway/src/request/state.rs
+++ b/crates/gateway/src/request/state.rs
@@ -303,6 +303,8 @@
             for crash in targets.record_unreachable(target, at) {
                 step.view.poison.record_crash(step.ctx, crash, step.out);
             }
+            let is_silent = matches!(end, End::AnswerTimeout);
+            targets.record_failure(step.ctx, target, is_silent, step.out);
         }
         End::Interrupted { .. } => {
             targets.record_interruption(target, pending.interruption(active, at));
