Let requests without room elsewhere return to a data centre at once

Cause: while a data centre was being readmitted, requests were held to the rest of the pool also when that was full, or refused with targets free.

Change: the rest is preferred only while a healthy target of it has a free slot.

--- a/crates/gateway/src/target/mod.rs
+++ b/crates/gateway/src/target/mod.rs
@@ -397,7 +397,7 @@
 
     /// Returns the targets of a pool that may get a request, except those in
     /// `tried` and those that a limit, a pause or coldness holds back. Targets of a data
-    /// centre that has been taken back are left out for a while if there are others. Targets
+    /// centre that has been taken back are left out for a while if others have room. Targets
     /// whose registration ended while the store was failing, and those that have just begun
     /// to leave, are returned only if the pool has no others, even if these have been tried or
     /// are held back.
@@ -424,7 +424,10 @@
         }
         let mut usable: Vec<_> = usable.collect();
         let is_readmitted = |(_, entry): &(&TargetId, &Entry)| entry.is_readmitted(query);
-        if usable.iter().any(|it| is_readmitted(it) && self.is_healthy(it.1, now)) {
+        let has_room = |(_, entry): &(&TargetId, &Entry)| {
+            self.is_healthy(entry, now) && entry.load(query).0 < entry.target.slots
+        };
+        if usable.iter().any(|it| is_readmitted(it) && has_room(it)) {
             usable.retain(is_readmitted);
         }
         usable.into_iter().map(candidate).collect()
--- a/crates/gateway/tests/all/evacuation.rs
+++ b/crates/gateway/tests/all/evacuation.rs
@@ -364,6 +364,19 @@
     });
 }
 
+/// The rest of the pool is full in the second in which the data centre is taken back.
+#[test]
+fn requests_without_room_elsewhere_return_at_once() {
+    let mut world = world();
+    evacuate(&mut world, "a");
+    let sends: Vec<_> = (0..16).map(|_| expect_send(world.arrive("/safe/a"))).collect();
+    assert!(sends.iter().all(|send| send.target.as_str().starts_with('b')));
+    take_back(&mut world, "a");
+    assert!(expect_send(world.arrive("/safe/a")).target.as_str().starts_with('a'));
+    complete(&mut world, &sends[0]);
+    assert!(expect_send(world.arrive("/safe/a")).target.as_str().starts_with('b'));
+}
+
 #[test]
 fn one_vm_that_knows_is_enough_if_the_store_is_lost() {
     for size in [6, 81] {
