--- a/crates/gateway/src/target/mod.rs
+++ b/crates/gateway/src/target/mod.rs
@@ -398,7 +398,7 @@
 
     /// Returns the targets of a pool that may get a request, except those in
     /// `tried` and those that a limit, a pause or coldness holds back. Targets of a data
-    /// centre that has been taken back are left out for a while if there are others. Targets
+    /// centre that has been taken back are left out for a while if others have room. Targets
     /// whose registration ended while the store was failing, and those that have just begun
     /// to leave, are returned only if the pool has no others, even if these have been tried or
     /// are held back.
@@ -419,9 +419,16 @@
             true => entry.is_ready(now),
             false => entry.is_last_resort(now),
         };
-        let mut usable: Vec<_> = self.entries.iter().filter(of_pool).filter(is_usable).collect();
+        let usable = self.entries.iter().filter(of_pool).filter(is_usable);
+        if !self.evacuations.has_readmission() {
+            return usable.map(candidate).collect();
+        }
+        let mut usable: Vec<_> = usable.collect();
         let is_readmitted = |(_, entry): &(&TargetId, &Entry)| entry.is_readmitted(query);
-        if usable.iter().any(|it| is_readmitted(it) && self.is_healthy(it.1, now)) {
+        let has_room = |(_, entry): &(&TargetId, &Entry)| {
+            self.is_healthy(entry, now) && entry.load(query).0 < entry.target.slots
+        };
+        if usable.iter().any(|it| is_readmitted(it) && has_room(it)) {
             usable.retain(is_readmitted);
         }
         usable.into_iter().map(candidate).collect()
