Place requests by the memory of engines and the speed of targets

Cause: engines were compared by numbers of requests and unread tokens. What a prompt and its answer need of an engine's memory did not count, although callers state both, and targets of unequal speed got the same. The fourth figure of the load header was cut off.

Lengths of answers are learned by route from the events that a stream had, against its hint. Each VM reports the memory that its requests are expected to need with its loads. Where the deployment's terms call for it, a prompt goes only to an engine that can hold it, a prompt larger than the engines is refused at once, and plain requests go by expected end. Elsewhere the decisions are the same.

--- a/crates/daemon/src/gateway/caller.rs
+++ b/crates/daemon/src/gateway/caller.rs
@@ -6,6 +6,7 @@
 use actix_web::web::{self, Bytes, BytesMut};
 use actix_web::{HttpRequest, HttpResponse};
 use briarshift_gateway::request::Arrival;
+use briarshift_routing::room::Length;
 use briarshift_routing::selection::Part;
 use briarshift_units::{Fingerprint, RequestId, Size, Span};
 use futures::StreamExt;
@@ -64,6 +65,11 @@
         );
     };
     let fingerprint = fingerprint(request_headers.account_key.as_deref(), path.as_str(), &body);
+    let length = Length {
+        prompt: request_headers.token_count.map(|count| count.prompt),
+        max_output: request_headers.token_count.map(|count| count.max_output),
+        hint: request_headers.length_hint,
+    };
     let arrival = Arrival {
         request: RequestId(fastrand::u64(..)),
         attempt: request_headers.attempt,
@@ -73,6 +79,7 @@
         key: request_headers.account_key,
         deadline: request_headers.deadline,
         parts: request_headers.parts.into_iter().map(|(id, tokens)| Part { id, tokens }).collect(),
+        length,
         fingerprint,
     };
     let path = path.as_str().to_owned();
--- a/crates/daemon/src/gateway/relay.rs
+++ b/crates/daemon/src/gateway/relay.rs
@@ -80,6 +80,7 @@
                 Progress::Events(events) => return Ok(Some(events)),
                 Progress::End => {
                     self.guard.disarm();
+                    self.report_length();
                     self.worker.report_end(self.send.id, End::Complete { ok: true }, None);
                     return Ok(None);
                 }
@@ -95,6 +96,15 @@
         }
     }
 
+    /// Reports how many events the answer had. Of one that the caller has resumed, the
+    /// beginning is not known.
+    fn report_length(&self) {
+        if self.job.resume_after.is_none() {
+            let events = self.splitter.count();
+            self.worker.notify(Event::Streamed { id: self.send.id, events });
+        }
+    }
+
     /// Reads from the target until at least one event is complete. Bytes that complete
     /// no event don't extend the wait.
     async fn read_events(&mut self) -> Progress {
--- a/crates/daemon/src/gateway/response.rs
+++ b/crates/daemon/src/gateway/response.rs
@@ -57,6 +57,7 @@
     let status = match refusal.cause {
         Cause::NoRoute => StatusCode::NOT_FOUND,
         Cause::NoAccount => StatusCode::UNAUTHORIZED,
+        Cause::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
         Cause::Unknown => StatusCode::BAD_GATEWAY,
         Cause::TimedOut => StatusCode::GATEWAY_TIMEOUT,
         _ => StatusCode::SERVICE_UNAVAILABLE,
--- a/crates/daemon/src/gateway/task.rs
+++ b/crates/daemon/src/gateway/task.rs
@@ -372,7 +372,12 @@
 }
 
 fn report(status: StatusCode, headers: &ResponseHeaders) -> Report {
-    let load = headers.load.map(|(running, waiting, slots)| Load { running, waiting, slots });
+    let load = headers.load.map(|load| Load {
+        running: load.running,
+        waiting: load.waiting,
+        slots: load.slots,
+        work_percent: load.work_percent,
+    });
     let is_turned_away = status == StatusCode::SERVICE_UNAVAILABLE;
     let pause = headers.retry_after.filter(|wait| is_turned_away && Span::ZERO < *wait);
     Report { load, limit: headers.limit, is_leaving: headers.is_leaving, pause }
--- a/crates/forward/src/event.rs
+++ b/crates/forward/src/event.rs
@@ -30,6 +30,7 @@
 /// assert_eq!(splitter.last_id(), Some("1"));
 /// assert!(!splitter.is_at_event_boundary());
 /// assert_eq!(splitter.push(b"ta: b\n\n").unwrap(), "id: 2\ndata: b\n\n");
+/// assert_eq!(splitter.count(), 2);
 /// assert!(splitter.is_at_event_boundary());
 /// ```
 #[derive(Debug, Default)]
@@ -37,6 +38,8 @@
     /// Bytes of the incomplete event.
     partial: BytesMut,
     last_id: Option<SmolStr>,
+    /// Number of complete events so far.
+    count: u32,
 }
 
 impl Splitter {
@@ -55,12 +58,18 @@
             return Ok(Bytes::new());
         };
         let events = self.partial.split_to(end).freeze();
+        self.count = self.count.saturating_add(count(&events));
         if let Some(id) = last_id(&events) {
             self.last_id = Some(id);
         }
         Ok(events)
     }
 
+    /// Returns the number of complete events so far.
+    pub fn count(&self) -> u32 {
+        self.count
+    }
+
     /// Returns the id of the last complete event that has one.
     pub fn last_id(&self) -> Option<&str> {
         self.last_id.as_deref()
@@ -86,6 +95,18 @@
     lf.max(crlf)
 }
 
+/// Returns the number of events in complete ones: of the empty lines that follow others.
+fn count(events: &[u8]) -> u32 {
+    let mut ended = 0;
+    let mut in_event = false;
+    for line in events.split(|byte| *byte == b'\n') {
+        let is_empty = line.is_empty() || line == b"\r";
+        ended += u32::from(is_empty && in_event);
+        in_event = !is_empty;
+    }
+    ended
+}
+
 fn last_id(events: &[u8]) -> Option<SmolStr> {
     let text = std::str::from_utf8(events).ok()?;
     let id = text.lines().rev().find_map(|line| line.strip_prefix("id:"))?;
--- a/crates/forward/src/header.rs
+++ b/crates/forward/src/header.rs
@@ -17,10 +17,37 @@
     pub deadline: Option<Span>,
     /// Id and length in tokens of each part of the prompt, in order.
     pub parts: Vec<(u64, u32)>,
+    /// Tokens of the prompt and maximum of the answer, if the caller states them.
+    pub token_count: Option<TokenCount>,
+    /// The caller's estimate of the answer's length in tokens.
+    pub length_hint: Option<u32>,
     /// Id of the last event that the caller received of a broken stream.
     pub resume_after: Option<SmolStr>,
 }
 
+/// The numbers of tokens that a caller states.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct TokenCount {
+    /// Tokens of the prompt.
+    pub prompt: u32,
+    /// Largest number of tokens of the answer.
+    pub max_output: u32,
+}
+
+/// The load that a target states.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Load {
+    /// Requests that are running.
+    pub running: u32,
+    /// Requests that are waiting.
+    pub waiting: u32,
+    /// Requests that it can run at the same time.
+    pub slots: u32,
+    /// How long work takes on its machine at this moment, in percent of the usual, if it
+    /// states that.
+    pub work_percent: Option<u32>,
+}
+
 /// The reason why a request is invalid.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
 pub enum HeaderError {
@@ -58,9 +85,8 @@
     pub from_target: bool,
     /// True if the target did not run the request.
     pub not_executed: bool,
-    /// Load of the target: its running requests, its waiting requests and its
-    /// slots.
-    pub load: Option<(u32, u32, u32)>,
+    /// Load of the target.
+    pub load: Option<Load>,
     /// Requests that the target accepts from all VMs together, if it names a limit.
     pub limit: Option<RequestRate>,
     /// True if the target says that it leaves.
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -22,5 +22,7 @@
 
 pub use client::{Client, Options};
 pub use connection::{Body, Failure, Request, Response};
-pub use header::{HeaderCodec, HeaderError, RequestHeaders, ResponseHeaders, TargetHeaders};
+pub use header::{
+    HeaderCodec, HeaderError, Load, RequestHeaders, ResponseHeaders, TargetHeaders, TokenCount,
+};
 pub use pool::Freshness;
--- a/crates/forward/tests/all/main.rs
+++ b/crates/forward/tests/all/main.rs
@@ -213,6 +213,7 @@
         }
         assert_eq!(out, text.as_bytes());
         assert_eq!(splitter.last_id(), Some("6"));
+        assert_eq!(splitter.count(), 6);
     }
 
     #[test]
--- a/crates/gateway/src/limit.rs
+++ b/crates/gateway/src/limit.rs
@@ -221,5 +221,10 @@
 /// Minimum retry delay for callers that targets turned away: another target may
 /// have capacity by now.
 pub const RETRY_AFTER_TURNED_AWAY: Span = Span::from_millis(50);
+/// Minimum retry delay for callers for whose request no engine has memory: some answers end
+/// in this time.
+pub const RETRY_AFTER_NO_MEMORY: Span = Span::from_millis(200);
+/// Minimum number of events of an answer by whose pace the speed of its engine is learned.
+pub const MIN_PACED_EVENTS: u32 = 4;
 /// Minimum retry delay for callers whose request crashes targets.
 pub const RETRY_AFTER_POISON: Span = Span::from_secs(10);
--- a/crates/gateway/src/peer/load.rs
+++ b/crates/gateway/src/peer/load.rs
@@ -20,6 +20,7 @@
 struct Sum {
     requests: u64,
     backlog: u64,
+    memory: u64,
 }
 
 impl Loads {
@@ -34,7 +35,7 @@
     pub fn at(&self, target: TargetHash) -> Load {
         let sum = self.sums.get(&target).copied().unwrap_or_default();
         let requests = u32::try_from(sum.requests).unwrap_or(u32::MAX);
-        Load { target, requests, backlog: sum.backlog }
+        Load { target, requests, backlog: sum.backlog, memory: sum.memory }
     }
 
     /// Returns the loads of all targets that have any.
@@ -50,6 +51,7 @@
             let Some(sum) = self.sums.get_mut(&load.target) else { continue };
             sum.requests = sum.requests.saturating_sub(u64::from(load.requests));
             sum.backlog = sum.backlog.saturating_sub(load.backlog);
+            sum.memory = sum.memory.saturating_sub(load.memory);
         }
     }
 
@@ -59,6 +61,7 @@
             let sum = self.sums.entry(load.target).or_default();
             sum.requests = sum.requests.wrapping_add(u64::from(load.requests));
             sum.backlog = sum.backlog.wrapping_add(load.backlog);
+            sum.memory = sum.memory.wrapping_add(load.memory);
         }
     }
 
@@ -68,6 +71,7 @@
             let Some(sum) = self.sums.get_mut(&load.target) else { continue };
             sum.requests = sum.requests.wrapping_sub(u64::from(load.requests));
             sum.backlog = sum.backlog.wrapping_sub(load.backlog);
+            sum.memory = sum.memory.wrapping_sub(load.memory);
             if *sum == Sum::default() {
                 self.sums.remove(&load.target);
             }
--- a/crates/gateway/src/request/admit.rs
+++ b/crates/gateway/src/request/admit.rs
@@ -44,6 +44,7 @@
         route,
         account,
         pool,
+        memory: 0,
         attempts: 0,
         sends: 0,
         tried: Vec::new(),
--- a/crates/gateway/src/request/choice.rs
+++ b/crates/gateway/src/request/choice.rs
@@ -8,6 +8,7 @@
 use briarshift_wire::heartbeat::TargetHash;
 
 use super::pending::Pending;
+use super::room::Placement;
 use super::view::Step;
 use crate::Context;
 use crate::limit::{ANSWER_TIMEOUT_FACTOR, MIN_FETCH_TOKENS};
@@ -25,6 +26,13 @@
     pub backlog: u64,
     /// Number of targets to choose from.
     pub candidates: usize,
+    /// More requests are known at the target than it runs at the same time.
+    pub has_queue: bool,
+    /// Memory that was free at the target, in tokens, if requests are placed by it.
+    pub room: Option<u64>,
+    /// How many times longer than usual work takes at the target, if requests are placed
+    /// by that.
+    pub slowness: Option<f64>,
     /// Where to fetch parts that the target lacks.
     pub fetch_from: Option<Holder>,
 }
@@ -44,6 +52,10 @@
     /// Targets have reached the limits that they name, until this time, and the others
     /// have no room.
     Limited(Moment),
+    /// No target has memory for the request.
+    NoMemory,
+    /// The prompt is larger than the memory of each target of its pool.
+    TooLarge,
 }
 
 /// Chooses the target for a request.
@@ -65,8 +77,12 @@
     };
     let limited_until = view.targets.limited_until(&query, &pending.pool);
     let denied = limited_until.map_or(Denied::NoTarget, Denied::Limited);
+    let placement = Placement::new(step, pending, &query, &candidates)?;
     let index = if pending.parts.is_empty() {
-        select_runner(step, &candidates)
+        match placement.by_speed() {
+            true => placement.select_runner(&candidates),
+            false => select_runner(step, &candidates),
+        }
     } else {
         let prompt = pending.prompt(view.cache.popularity(pending.shared_parts(), ctx.at));
         let bound = &ctx.me.bounds.engine_load;
@@ -74,12 +90,18 @@
         if limited_until.is_some() && !selection::has_room(&candidates, &prompt, bound, cached_by) {
             return Err(denied);
         }
-        selection::select_engine(&candidates, &prompt, bound, cached_by, ctx.entropy)
+        match placement.by_speed() {
+            true => placement.select_engine(&candidates, &prompt, cached_by),
+            false => selection::select_engine(&candidates, &prompt, bound, cached_by, ctx.entropy),
+        }
     };
-    let candidate = &candidates[index.ok_or(denied)?];
+    let without = if candidates.is_empty() { denied } else { Denied::NoMemory };
+    let candidate = &candidates[index.ok_or(without)?];
     let Candidate { name, load, backlog, .. } = *candidate;
     let cached_tokens = cached_by(candidate);
     let target: TargetId = name.parse().map_err(|_| denied)?;
+    let (room, slowness) = (placement.room(candidate), placement.known_slowness(candidate));
+    let has_queue = candidate.slots <= load;
     let fetch_from = find_holder(step, pending, &target, cached_tokens);
     let available = fetch_from.as_ref().map_or(cached_tokens, |holder| holder.cached_tokens);
     let unread_tokens = pending.prompt_tokens().saturating_sub(available);
@@ -90,6 +112,9 @@
         load,
         backlog,
         candidates: candidates.len(),
+        has_queue,
+        room,
+        slowness,
         fetch_from,
     })
 }
--- a/crates/gateway/src/request/event.rs
+++ b/crates/gateway/src/request/event.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use briarshift_catalog::Kind;
+use briarshift_routing::room::Length;
 use briarshift_routing::selection::Part;
 use briarshift_units::{
     AccountId, AttemptId, Fingerprint, Moment, PoolId, RequestId, Span, TargetId,
@@ -32,6 +33,8 @@
     /// Parts of its prompt. The last part is specific to this request; the
     /// others are shared with other requests.
     pub parts: Vec<Part>,
+    /// What its caller states about its length.
+    pub length: Length,
     /// Hash of the API key, the path with its query, and the body.
     pub fingerprint: Fingerprint,
 }
@@ -141,6 +144,14 @@
         /// What the answer reported about the target.
         report: Option<Report>,
     },
+    /// A stream that its caller did not resume was relayed to its end. Precedes the end
+    /// of its send.
+    Streamed {
+        /// The send.
+        id: SendId,
+        /// Number of its events.
+        events: u32,
+    },
     /// A send has ended.
     SendEnded {
         /// The send.
--- a/crates/gateway/src/request/mod.rs
+++ b/crates/gateway/src/request/mod.rs
@@ -13,8 +13,10 @@
 mod pending;
 mod record;
 mod refusal;
+mod room;
 mod state;
 mod view;
+mod work;
 
 pub use event::{Arrival, Decision, End, Event, Send, SendId};
 pub use refusal::{Cause, Refusal};
--- a/crates/gateway/src/request/pending.rs
+++ b/crates/gateway/src/request/pending.rs
@@ -7,6 +7,7 @@
 use briarshift_routing::selection::Prompt;
 use briarshift_units::{ChatKey, Moment, PoolId, TargetId};
 
+use super::work::Active;
 use super::{Arrival, End, SendId};
 use crate::limit::MIN_ATTEMPT_TIME;
 use crate::poison::suspect_parts;
@@ -21,6 +22,8 @@
     pub backlog: u64,
     pub at: Moment,
     pub answer_began: bool,
+    /// What is learned from the answer.
+    pub work: Active,
 }
 
 /// A request in progress.
@@ -33,6 +36,9 @@
     /// The prompt's prefix up to each of its parts, with the part's tokens.
     /// Empty unless the route is cache-aware.
     pub parts: Vec<(Prefix, u32)>,
+    /// Memory that it is expected to need at an engine, in tokens, without the shared
+    /// parts; 0 where requests are not placed by memory.
+    pub memory: u64,
     /// When the caller or the route stops waiting.
     pub deadline: Moment,
     /// Number of sends that a target may have received.
@@ -93,6 +99,13 @@
         self.parts.iter().map(|(_, tokens)| u64::from(*tokens)).sum()
     }
 
+    /// Returns the number of tokens of the prompt that are its own, by its parts or by what
+    /// the caller states, whichever is more.
+    pub fn own_tokens(&self) -> u64 {
+        let stated = self.arrival.length.prompt.map_or(0, u64::from);
+        self.prompt_tokens().max(stated) - self.shared_tokens()
+    }
+
     /// Returns the prompt for choosing an engine, where `share` is the share of
     /// recent prompts with the same last shared part.
     pub fn prompt(&self, share: f64) -> Prompt {
--- a/crates/gateway/src/request/record.rs
+++ b/crates/gateway/src/request/record.rs
@@ -78,6 +78,14 @@
         .with("unread", choice.unread_tokens)
         .with("prompt", pending.prompt_key())
         .with("left", send.deadline.since(step.ctx.at));
+    let line = match choice.room {
+        Some(room) => line.with("need", pending.memory).with("room", room),
+        None => line,
+    };
+    let line = match choice.slowness {
+        Some(slowness) => line.with("slow", format_args!("{slowness:.2}")),
+        None => line,
+    };
     with_configuration(step, line)
 }
 
--- a/crates/gateway/src/request/refusal.rs
+++ b/crates/gateway/src/request/refusal.rs
@@ -19,6 +19,10 @@
     NoTarget,
     /// The targets turned it away.
     TurnedAway,
+    /// No engine has memory for it now.
+    NoMemory,
+    /// It is larger than the memory of each engine.
+    TooLarge,
     /// It crashes the targets that run it.
     Poison,
     /// It was sent, and it is unknown whether it ran.
@@ -53,6 +57,8 @@
             Self::NoAccount => "no_account",
             Self::NoTarget => "no_target",
             Self::TurnedAway => "turned_away",
+            Self::NoMemory => "no_memory",
+            Self::TooLarge => "too_large",
             Self::Poison => "poison",
             Self::Unknown => "unknown",
             Self::Late => "late",
@@ -70,6 +76,8 @@
             Self::NoAccount => "no client account has this key: check the key",
             Self::NoTarget => "no target can be reached now: retry later",
             Self::TurnedAway => "the targets have no capacity now: retry later",
+            Self::NoMemory => "no engine has memory for the request now: retry later",
+            Self::TooLarge => "the prompt exceeds the memory of the engines: shorten it",
             Self::Poison => "this request crashes the targets that run it: change the request",
             Self::Unknown => "the target may have run the request: check before repeating it",
             Self::Late => "the deadline passed before the request was sent: allow more time",
--- a/crates/gateway/src/request/state.rs
+++ b/crates/gateway/src/request/state.rs
@@ -9,10 +9,10 @@
 use super::choice::{Choice, Denied, answer_deadline, choose};
 use super::pending::{ActiveSend, Pending};
 use super::view::{Step, View};
-use super::{Arrival, Cause, Decision, End, Event, Refusal, Send, SendId, record};
+use super::{Arrival, Cause, Decision, End, Event, Refusal, Send, SendId, record, work};
 use crate::limit::{
-    MAX_UNREACHED, RETRY_AFTER_LEAVING, RETRY_AFTER_NO_TARGET, RETRY_AFTER_POISON,
-    RETRY_AFTER_STALE, RETRY_AFTER_TURNED_AWAY, RETRY_SPREAD_DIVISOR,
+    MAX_UNREACHED, RETRY_AFTER_LEAVING, RETRY_AFTER_NO_MEMORY, RETRY_AFTER_NO_TARGET,
+    RETRY_AFTER_POISON, RETRY_AFTER_STALE, RETRY_AFTER_TURNED_AWAY, RETRY_SPREAD_DIVISOR,
 };
 use crate::target::Report;
 use crate::{Context, Effect, Output};
@@ -23,6 +23,7 @@
     pending: HashMap<RequestId, Pending>,
     /// Recent requests and retries of each pool, which limit further retries.
     windows: BTreeMap<PoolId, Window>,
+    work: work::State,
 }
 
 /// What to do after a send has ended.
@@ -56,6 +57,11 @@
         match event {
             Event::Arrived(arrival) => self.handle_arrival(step, &arrival),
             Event::AnswerBegan { id, report } => self.handle_answer_began(step, id, report),
+            Event::Streamed { id, events } => {
+                if let Some(active) = self.active_send(id) {
+                    active.work.events = Some(events);
+                }
+            }
             Event::SendEnded { id, end, report } => self.handle_send_ended(step, id, &end, report),
             Event::CallerLeft(request) => self.handle_caller_left(step, request),
         }
@@ -78,10 +84,13 @@
     }
 
     fn handle_arrival(&mut self, step: &mut Step<'_, '_>, arrival: &Arrival) {
-        let pending = match admit(step, arrival) {
+        let mut pending = match admit(step, arrival) {
             Ok(pending) => pending,
             Err(cause) => return refuse(step, arrival, cause, Span::ZERO),
         };
+        if step.ctx.me.features.room {
+            pending.memory = self.work.expected_memory(&pending);
+        }
         let window = self.windows.entry(pending.pool.clone()).or_default();
         window.record_request(&step.ctx.me.bounds.retry_budget, step.ctx.at);
         self.pending.insert(arrival.request, pending);
@@ -103,15 +112,19 @@
                 return self.refuse_pending(step, request, Cause::NoTarget);
             }
             Err(Denied::Limited(until)) => return self.refuse_until(step, request, until),
+            Err(Denied::NoMemory) => return self.refuse_pending(step, request, Cause::NoMemory),
+            Err(Denied::TooLarge) => return self.refuse_pending(step, request, Cause::TooLarge),
         };
         pending.sends += 1;
         let id = SendId { request, number: pending.sends };
         let Some(send) = send(step, pending, &choice, id) else { return };
         step.out.log(record::dispatched(step, pending, &choice, &send));
         record_send(step, pending, &choice);
+        step.view.targets.add_memory(&choice.target, pending.memory);
+        let work = work::Active { found_queue: choice.has_queue, ..work::Active::default() };
         let (target, backlog) = (choice.target, choice.unread_tokens);
         pending.active_send =
-            Some(ActiveSend { id, target, backlog, at: step.ctx.at, answer_began: false });
+            Some(ActiveSend { id, target, backlog, at: step.ctx.at, answer_began: false, work });
         step.out.push(Effect::Decide { request, decision: Decision::Send(send) });
     }
 
@@ -119,6 +132,7 @@
         let Some(pending) = self.pending.get_mut(&id.request) else { return };
         let Some(active) = pending.active_send.as_mut().filter(|it| it.id == id) else { return };
         active.answer_began = true;
+        active.work.began_at = Some(step.ctx.at);
         step.view.poison.record_answer(&pending.arrival, step.out);
         let backlog = std::mem::take(&mut active.backlog);
         let (targets, at) = (&mut *step.view.targets, step.ctx.at);
@@ -144,12 +158,14 @@
         let Some(pending) = self.pending.get_mut(&request) else { return };
         let Some(active) = pending.active_send.take() else { return };
         step.view.targets.remove_request(&active.target, active.backlog);
+        step.view.targets.remove_memory(&active.target, pending.memory);
         if let Some(report) = report {
             let ok = matches!(end, End::Complete { ok: true });
             let vms = step.view.peers.fleet_size();
             step.view.targets.set_report(step.ctx, &active.target, report, ok, vms, step.out);
         }
         record_end(step, pending, &active, end, report);
+        self.work.record_end(step, pending, &active, end);
         pending.record_end(&active, end);
         step.out.log(record::ended(step.ctx, pending, &active, end));
         match self.next_action(step, request, end) {
@@ -202,6 +218,7 @@
         step.out.log(record::caller_left(step.ctx, &pending));
         if let Some(active) = pending.active_send {
             step.view.targets.remove_request(&active.target, active.backlog);
+            step.view.targets.remove_memory(&active.target, pending.memory);
         }
     }
 
@@ -327,6 +344,7 @@
         Cause::Leaving => RETRY_AFTER_LEAVING,
         Cause::NoTarget => RETRY_AFTER_NO_TARGET,
         Cause::TurnedAway => RETRY_AFTER_TURNED_AWAY,
+        Cause::NoMemory => RETRY_AFTER_NO_MEMORY,
         Cause::Poison => RETRY_AFTER_POISON,
         _ => return None,
     };
--- a/crates/gateway/src/target/mod.rs
+++ b/crates/gateway/src/target/mod.rs
@@ -8,6 +8,8 @@
 mod data_centre;
 mod leaving;
 mod limit;
+mod room;
+mod speed;
 
 use std::collections::{BTreeMap, HashMap};
 
@@ -53,6 +55,9 @@
     pub waiting: u32,
     /// Requests that it can run at the same time.
     pub slots: u32,
+    /// How long work takes on its machine at this moment, in percent of the usual, if it
+    /// states that.
+    pub work_percent: Option<u32>,
 }
 
 /// A request that was interrupted at a target.
@@ -90,6 +95,10 @@
     pub requests: u32,
     /// Prompt tokens of these requests that the target has still to read.
     pub backlog: u64,
+    /// Memory that these requests are expected to need, in tokens.
+    memory: u64,
+    /// How fast it works.
+    speed: speed::Speed,
     /// Health, judged by the target's answers.
     pub health: Health,
     version: Version,
@@ -117,6 +126,8 @@
             hash: TargetHash::of(id.as_str()),
             requests: 0,
             backlog: 0,
+            memory: 0,
+            speed: speed::Speed::default(),
             health: Health::default(),
             version,
             reported_load: None,
@@ -297,8 +308,9 @@
         if entry.target.start != target.start || entry.target.address != target.address {
             crashes.extend(entry.take_crashes(ctx.at));
             out.push(Effect::CloseConnections(entry.target.address));
-            let (requests, backlog) = (entry.requests, entry.backlog);
-            *entry = Entry { requests, backlog, ..Entry::new(id, target.clone(), row.version) };
+            let (requests, backlog, memory) = (entry.requests, entry.backlog, entry.memory);
+            let new = Entry::new(id, target.clone(), row.version);
+            *entry = Entry { requests, backlog, memory, ..new };
             entry.left_at = self.left.get(id).and_then(|left| left.since(target));
             if entry.left_at.is_none() {
                 self.left.remove(id);
@@ -445,6 +457,7 @@
         let Some(entry) = self.entries.get_mut(id) else { return };
         if let Some(load) = report.load {
             entry.reported_load = Some((load, ctx.at));
+            entry.speed.set_stated(load.work_percent, ctx.at);
         }
         if let Some(wait) = report.pause {
             let pause = Pause::new(wait, ctx.at, ctx.entropy);
@@ -532,6 +545,7 @@
             target: entry.hash,
             requests: entry.requests,
             backlog: entry.backlog,
+            memory: entry.memory,
         })
         .collect()
     }
--- /dev/null
+++ b/crates/gateway/src/target/room.rs
@@ -0,0 +1,38 @@
+//! The memory of engines.
+
+use briarshift_routing::room::Memory;
+use briarshift_units::TargetId;
+
+use super::{Entry, Query, State};
+
+impl Entry {
+    /// Returns what is known of the memory of an engine with `size` tokens of it, `shared`
+    /// of which the shared parts of prompts use.
+    pub fn memory(&self, query: &Query<'_>, size: u64, shared: u64) -> Memory {
+        let peers = query.peer_loads.at(self.hash);
+        let stated = self.reported_load(query.now).filter(|_| !query.all_peers_live);
+        Memory {
+            size,
+            shared,
+            own: self.memory.saturating_add(peers.memory),
+            known_requests: self.requests.saturating_add(peers.requests),
+            stated_requests: stated.map_or(0, |load| load.running.saturating_add(load.waiting)),
+        }
+    }
+}
+
+impl State {
+    /// Counts the memory that a request is expected to need at an engine, in tokens.
+    pub fn add_memory(&mut self, id: &TargetId, tokens: u64) {
+        if let Some(entry) = self.entries.get_mut(id) {
+            entry.memory = entry.memory.saturating_add(tokens);
+        }
+    }
+
+    /// Removes the memory of a request that has ended.
+    pub fn remove_memory(&mut self, id: &TargetId, tokens: u64) {
+        if let Some(entry) = self.entries.get_mut(id) {
+            entry.memory = entry.memory.saturating_sub(tokens);
+        }
+    }
+}
--- a/crates/gateway/tests/all/fleet.rs
+++ b/crates/gateway/tests/all/fleet.rs
@@ -265,6 +265,7 @@
             key: None,
             deadline: None,
             parts: Vec::new(),
+            length: Default::default(),
             fingerprint: Fingerprint(self.requests),
         };
         change(&mut arrival);
--- a/crates/gateway/tests/all/load.rs
+++ b/crates/gateway/tests/all/load.rs
@@ -22,7 +22,7 @@
         unreachable!()
     };
     heartbeat.start = StartNumber(start);
-    heartbeat.loads = vec![Load { target: TargetHash::of("t-1"), requests, backlog: 0 }];
+    heartbeat.loads = vec![Load { target: TargetHash::of("t-1"), requests, backlog: 0, memory: 0 }];
     world.apply(Kind::Datagram(Datagram::Heartbeat(heartbeat)));
 }
 
--- a/crates/gateway/tests/all/relay.rs
+++ b/crates/gateway/tests/all/relay.rs
@@ -59,7 +59,7 @@
         start: StartNumber(1),
         sequence,
         scope,
-        loads: vec![Load { target, requests, backlog: 0 }],
+        loads: vec![Load { target, requests, backlog: 0, memory: 0 }],
         placements: Vec::new(),
     }))
 }
--- a/crates/gateway/tests/all/world.rs
+++ b/crates/gateway/tests/all/world.rs
@@ -7,6 +7,7 @@
 use briarshift_gateway::request::{Arrival, Cause, Decision, End, Event as Request, Send};
 use briarshift_gateway::{Bounds, Effect, Event, Features, Identity, Kind, State};
 use briarshift_routing::retry_window::Budget;
+use briarshift_routing::room::Length;
 use briarshift_routing::selection::{Bound, Part};
 use briarshift_store::registry::{Call, Member, Name, Reply, Row, Secret, Status, Target, Value};
 use briarshift_store::{Error, Version};
@@ -191,6 +192,7 @@
             key: Some(KEY.into()),
             deadline: None,
             parts: Vec::new(),
+            length: Length::default(),
             fingerprint: Fingerprint(self.requests),
         };
         change(&mut arrival);
--- a/crates/model/src/fleet/caller.rs
+++ b/crates/model/src/fleet/caller.rs
@@ -3,6 +3,7 @@
 
 use briarshift_gateway::Kind;
 use briarshift_gateway::request::{Arrival, Event as Request};
+use briarshift_routing::room::Length;
 use briarshift_routing::selection::Part;
 use briarshift_units::{Fingerprint, Moment, RequestId, Span};
 
@@ -119,6 +120,7 @@
             key: None,
             deadline: Some(left),
             parts: caller.parts.clone(),
+            length: Length::default(),
             fingerprint: Fingerprint(index as u64),
         };
         let (vm, attempts) = (caller.vm, caller.attempts);
--- a/crates/model/src/target.rs
+++ b/crates/model/src/target.rs
@@ -83,7 +83,10 @@
         let (running, waiting) = self.load();
         let (Spec::Engine(engine::Spec { slots, .. }) | Spec::Runner(desk::Spec { slots, .. })) =
             self.spec;
-        Report { load: Some(Load { running, waiting, slots }), ..Report::default() }
+        Report {
+            load: Some(Load { running, waiting, slots, work_percent: None }),
+            ..Report::default()
+        }
     }
 
     /// Returns the number of running and of waiting requests.
--- a/crates/routing/src/cache.rs
+++ b/crates/routing/src/cache.rs
@@ -21,6 +21,10 @@
 /// requests and parts that are not shared use the rest.
 const SHARED_MEMORY_FRACTION: f64 = 0.6;
 
+/// Time after a prompt was sent for which its request is assumed to run. Most answers are
+/// complete by then; the parts that others still use are few beside the engine's memory.
+const USE_TIME: Span = Span::from_secs(3);
+
 /// Hash of a prompt part and all parts before it. A cached part can be reused
 /// only if all parts before it are cached too.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -95,6 +99,31 @@
         parts.iter().take_while(is_cached).map(|(_, tokens)| u64::from(*tokens)).sum()
     }
 
+    /// Returns the tokens of the shared parts that the engine's requests are assumed to
+    /// use if a prompt with these parts joins them. Parts used recently count, each once.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use briarshift_routing::cache::{Cache, prefixes};
+    /// use briarshift_routing::selection::Part;
+    /// use briarshift_units::{Moment, Span};
+    /// let parts = prefixes(&[Part { id: 1, tokens: 100 }, Part { id: 2, tokens: 50 }]);
+    /// let mut cache = Cache::default();
+    /// cache.record(&parts[..1], 1_000, Moment(0));
+    /// assert_eq!(cache.tokens_in_use(&parts, Moment(1)), 150);
+    /// assert_eq!(cache.tokens_in_use(&[], Moment(0) + Span::from_secs(9)), 0);
+    /// ```
+    pub fn tokens_in_use(&self, parts: &[(Prefix, u32)], now: Moment) -> u64 {
+        let is_in_use = |used_at: &Moment| now.since(*used_at) < USE_TIME;
+        let used = self.parts.values().filter(|(_, used_at)| is_in_use(used_at));
+        let used: u64 = used.map(|(tokens, _)| u64::from(*tokens)).sum();
+        let is_new =
+            |prefix: &Prefix| self.parts.get(prefix).is_none_or(|(_, used_at)| !is_in_use(used_at));
+        let new = parts.iter().filter(|(prefix, _)| is_new(prefix));
+        used + new.map(|(_, tokens)| u64::from(*tokens)).sum::<u64>()
+    }
+
     /// Returns true if the prefix is recorded, even if its last use is longer
     /// ago than the cache is assumed to keep it.
     pub fn contains(&self, prefix: Prefix) -> bool {
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -19,6 +19,8 @@
 pub mod rank;
 pub mod retry;
 pub mod retry_window;
+pub mod room;
 pub mod selection;
+pub mod speed;
 pub mod spread;
 pub mod token;
--- a/crates/routing/src/selection.rs
+++ b/crates/routing/src/selection.rs
@@ -30,7 +30,7 @@
 /// Fraction of occupied slots below which a runner counts as idle. It then
 /// answers about as fast as an empty one, so a local runner is as good as any
 /// other.
-const IDLE_LOAD: f64 = 0.34;
+pub(crate) const IDLE_LOAD: f64 = 0.34;
 
 /// One part of a prompt.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -114,6 +114,38 @@
     bound: &Bound,
     cached: impl Fn(&Candidate<'a>) -> u64,
     entropy: u64,
+) -> Option<usize> {
+    let by_load = |engine: &Candidate<'a>| Some(f64::from(engine.load));
+    select_engine_by(candidates, prompt, bound, cached, by_load, entropy)
+}
+
+/// Like [`select_engine`], with the cost of each engine, which decides between the first
+/// few by rank. `cost` returns `None` for an engine that can't hold the request, which is
+/// not selected. Returns `None` if there is no other.
+///
+/// # Examples
+///
+/// ```
+/// use briarshift_routing::selection::{Bound, Candidate, Prompt, select_engine_by};
+/// use briarshift_units::ChatKey;
+/// let candidate = |name| {
+///     Candidate { name, load: 1, backlog: 0, slots: 6, local: true, healthy: true, error_rate: 0.0 }
+/// };
+/// let bound = Bound { factor: 1.5, extra: 1, backlog: 9_000 };
+/// let prompt = Prompt { key: ChatKey(7), tokens: 600, share: 0.01 };
+/// let engines = [candidate("a"), candidate("b")];
+/// let none = |_: &Candidate<'_>| 0;
+/// let only_b = |engine: &Candidate<'_>| (engine.name == "b").then_some(1.0);
+/// assert_eq!(select_engine_by(&engines, &prompt, &bound, none, only_b, 1), Some(1));
+/// assert_eq!(select_engine_by(&engines, &prompt, &bound, none, |_| None, 1), None);
+/// ```
+pub fn select_engine_by<'a>(
+    candidates: &[Candidate<'a>],
+    prompt: &Prompt,
+    bound: &Bound,
+    cached: impl Fn(&Candidate<'a>) -> u64,
+    cost: impl Fn(&Candidate<'a>) -> Option<f64>,
+    entropy: u64,
 ) -> Option<usize> {
     let usable = usable(candidates);
     let load: u32 = usable.iter().map(|&index| candidates[index].load).sum();
@@ -127,19 +159,27 @@
     // The index breaks ties between equal scores.
     let mut open: BinaryHeap<_> = open.map(|index| (score(index), Reverse(index))).collect();
     let mut first = Vec::with_capacity(replicas);
+    let mut costs = Vec::with_capacity(replicas);
     while first.len() < replicas
         && let Some((_, Reverse(index))) = open.pop()
     {
-        if can_read(&candidates[index], prompt, bound, cached(&candidates[index])) {
+        let engine = &candidates[index];
+        if can_read(engine, prompt, bound, cached(engine))
+            && let Some(cost) = cost(engine)
+        {
             first.push(index);
+            costs.push(cost);
         }
     }
-    cheaper_of_two(&first, entropy, |index| f64::from(candidates[index].load)).or_else(|| {
-        let cost = |&index: &usize| {
+    let places: Vec<_> = (0..first.len()).collect();
+    let chosen = cheaper_of_two(&places, entropy, |place| costs[place]);
+    chosen.map(|place| first[place]).or_else(|| {
+        let can_hold = |&index: &usize| cost(&candidates[index]).is_some();
+        let key = |&index: &usize| {
             let Candidate { load, .. } = candidates[index];
             (max_load <= load, unread(&candidates[index]), load, Reverse(score(index)))
         };
-        usable.into_iter().min_by_key(cost)
+        usable.into_iter().filter(can_hold).min_by_key(key)
     })
 }
 
--- a/crates/routing/src/spread.rs
+++ b/crates/routing/src/spread.rs
@@ -17,7 +17,7 @@
 /// Difference of two loads that counts as more than chance, in standard
 /// deviations. Independent arrivals make a load vary by the square root of its
 /// mean.
-const SIGNIFICANT_DEVIATIONS: f64 = 2.0;
+pub(crate) const SIGNIFICANT_DEVIATIONS: f64 = 2.0;
 
 /// Selects a runner and returns its index. `vm_share` is the fraction of the
 /// fleet's VMs that are in this VM's data centre, and `entropy` is a random
@@ -88,7 +88,7 @@
 
 /// Returns one of several independent numbers from 0 to 1 that a random number
 /// yields.
-fn draw(entropy: u64, number: u64) -> f64 {
+pub(crate) fn draw(entropy: u64, number: u64) -> f64 {
     let mixed = (entropy ^ number.wrapping_mul(0x9e37_79b9_7f4a_7c15))
         .wrapping_mul(0xbf58_476d_1ce4_e5b9)
         .rotate_left(31)
--- a/crates/wire/src/heartbeat.rs
+++ b/crates/wire/src/heartbeat.rs
@@ -30,6 +30,9 @@
     pub requests: u32,
     /// Prompt tokens of these requests that the target has yet to process.
     pub backlog: u64,
+    /// Memory that these requests are expected to need there, in tokens, without the
+    /// shared parts of their prompts.
+    pub memory: u64,
 }
 
 /// Shared prompt parts that were sent to an engine.
