Replay targets of unequal speed in the model

Cause: nothing showed what the speed of targets does to callers.

Change: the model has runners whose machines are slow by turns and state it, engines of two makes, callers that hint the length of answers, and callers that shift between data centres.

--- a/crates/gateway/src/request/room.rs
+++ b/crates/gateway/src/request/room.rs
@@ -42,11 +42,7 @@
         if memory.is_some_and(|size| !can_ever_hold(size, prompt)) {
             return Err(Denied::TooLarge);
         }
-        let states_speed = |candidate: &Candidate<'_>| {
-            let entry = view.targets.get_by_hash(TargetHash::of(candidate.name));
-            entry.is_some_and(|(_, entry)| entry.states_speed())
-        };
-        let by_speed = ctx.me.features.room || candidates.iter().any(states_speed);
+        let by_speed = ctx.me.features.room || view.targets.state_speed(candidates);
         Ok(Self { ctx, view, pending, query, memory, by_speed })
     }
 
--- a/crates/gateway/src/target/mod.rs
+++ b/crates/gateway/src/target/mod.rs
@@ -224,6 +224,8 @@
     /// Targets that have said that they leave.
     left: BTreeMap<TargetId, leaving::Left>,
     leaving_news: News<Leaving>,
+    /// A target has stated its speed.
+    states_speed: bool,
 }
 
 impl State {
@@ -458,6 +460,7 @@
         if let Some(load) = report.load {
             entry.reported_load = Some((load, ctx.at));
             entry.speed.set_stated(load.work_percent, ctx.at);
+            self.states_speed |= load.work_percent.is_some();
         }
         if let Some(wait) = report.pause {
             let pause = Pause::new(wait, ctx.at, ctx.entropy);
--- a/crates/gateway/src/target/room.rs
+++ b/crates/gateway/src/target/room.rs
@@ -6,6 +6,12 @@
 use super::{Entry, Query, State};
 
 impl Entry {
+    /// Returns the memory that this VM's requests are expected to need at the target, in
+    /// tokens.
+    pub fn own_memory(&self) -> u64 {
+        self.memory
+    }
+
     /// Returns what is known of the memory of an engine with `size` tokens of it, `shared`
     /// of which the shared parts of prompts use.
     pub fn memory(&self, query: &Query<'_>, size: u64, shared: u64) -> Memory {
--- a/crates/gateway/src/target/speed.rs
+++ b/crates/gateway/src/target/speed.rs
@@ -1,7 +1,9 @@
 //! How fast targets work.
 
+use briarshift_routing::selection::Candidate;
 use briarshift_routing::speed::{Learned, Stated};
 use briarshift_units::{Moment, TargetId};
+use briarshift_wire::heartbeat::TargetHash;
 
 use super::{Entry, State};
 
@@ -22,8 +24,7 @@
 }
 
 impl Entry {
-    /// Returns true if the target states its speed.
-    pub fn states_speed(&self) -> bool {
+    fn states_speed(&self) -> bool {
         self.speed.stated.is_some()
     }
 
@@ -35,6 +36,13 @@
 }
 
 impl State {
+    /// Returns true if one of these targets states its speed.
+    pub fn state_speed(&self, candidates: &[Candidate<'_>]) -> bool {
+        let entry = |candidate: &Candidate<'_>| self.get_by_hash(TargetHash::of(candidate.name));
+        let states_speed = |candidate| entry(candidate).is_some_and(|(_, it)| it.states_speed());
+        self.states_speed && candidates.iter().any(states_speed)
+    }
+
     /// Records an answer that took `ratio` times the usual time. What the target states
     /// beside the answer explains a part of it, and does not last.
     pub fn record_speed(&mut self, id: &TargetId, ratio: f64, now: Moment) {
--- a/crates/gateway/tests/all/main.rs
+++ b/crates/gateway/tests/all/main.rs
@@ -14,6 +14,7 @@
 mod reader;
 mod relay;
 mod retry;
+mod room;
 mod start;
 mod target;
 mod world;
--- a/crates/model/src/engine.rs
+++ b/crates/model/src/engine.rs
@@ -35,6 +35,15 @@
     pub tokens_per_event: u32,
 }
 
+impl Spec {
+    /// Returns the same engine with work that takes `factor` times as long.
+    #[must_use]
+    pub fn slowed(self, factor: f64) -> Self {
+        let step = Span((self.step.0 as f64 * factor) as u64);
+        Self { step, read_rate: self.read_rate / factor, ..self }
+    }
+}
+
 /// One request on an engine.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Task {
--- a/crates/model/src/fleet/disturbance.rs
+++ b/crates/model/src/fleet/disturbance.rs
@@ -49,7 +49,8 @@
                     Span(self.scenario.episodes[episode].duration.0 / count.max(1) as u64);
                 self.replace_engine(count, interval);
             }
-            Disturbance::Burst { .. } | Disturbance::Popular { .. } => {}
+            Disturbance::Burst { .. } | Disturbance::Popular { .. } | Disturbance::Shift { .. } => {
+            }
         }
     }
 
--- a/crates/model/src/fleet/mod.rs
+++ b/crates/model/src/fleet/mod.rs
@@ -126,7 +126,7 @@
             fleet.add_target(false);
         }
         for vm in 0..scenario.vms {
-            let me = vm::identity(vm, &mut fleet.rng);
+            let me = vm::identity(vm, scenario.features, &mut fleet.rng);
             fleet.addresses.insert(me.address, vm);
             fleet.vms.push(State::new(me));
             let delay = Span(fleet.rng.u64(..TICK_INTERVAL.0));
@@ -144,11 +144,18 @@
 
     /// Adds a target and registers it in the store.
     fn add_target(&mut self, is_engine: bool) {
-        let spec = match is_engine {
-            true => Spec::Engine(self.scenario.engines.1),
-            false => Spec::Runner(self.scenario.runners.1),
+        let Scenario { engines, runners, speeds, .. } = self.scenario;
+        let pool = pool(is_engine);
+        let place = self.targets.iter().filter(|target| target.pool == pool).count();
+        let by_turns = |speeds: &[f64]| speeds[place % speeds.len()];
+        let (spec, lasting) = match is_engine {
+            true => {
+                let lasting = by_turns(speeds.engines);
+                (Spec::Engine(engines.1.slowed(lasting)), lasting)
+            }
+            false => (Spec::Runner(runners.1), by_turns(speeds.runners)),
         };
-        let target = Target::new(self.targets.len(), &pool(is_engine), spec);
+        let target = Target::new(self.targets.len(), &pool, spec, lasting);
         self.store.put(Name::Target(target.id.clone()), Some(target.row(Status::Ready)));
         self.targets.push(target);
     }
--- a/crates/model/src/fleet/vm.rs
+++ b/crates/model/src/fleet/vm.rs
@@ -46,7 +46,7 @@
 }
 
 /// Returns the identity of the gateway with this index.
-pub(super) fn identity(number: usize, rng: &mut Rng) -> Identity {
+pub(super) fn identity(number: usize, features: Features, rng: &mut Rng) -> Identity {
     let [.., high, low] = number.to_be_bytes();
     Identity {
         vm: format!("vm-{number}").parse().expect("an identifier"),
@@ -62,7 +62,7 @@
             engine_load: Bound { factor: 1.8, extra: 3, backlog: 14_000 },
             grace: Span::from_secs(8),
         },
-        features: Features::default(),
+        features,
     }
 }
 
--- a/crates/model/src/results.rs
+++ b/crates/model/src/results.rs
@@ -50,6 +50,11 @@
     /// Number of those that reached an engine with a load above twice the pool's
     /// mean plus three.
     pub overloaded_sends: u64,
+    /// Number of sends to desk runners.
+    pub runner_sends: u64,
+    /// Number of those that reached a runner with a load above twice the pool's mean plus
+    /// three.
+    pub overloaded_runner_sends: u64,
     /// Number of calls to the store.
     pub store_calls: u64,
 }
--- a/crates/model/src/scenario.rs
+++ b/crates/model/src/scenario.rs
@@ -1,6 +1,7 @@
 //! Scenarios: the load on a fleet and the faults that occur.
 
 use briarshift_catalog::Kind;
+use briarshift_gateway::Features;
 use briarshift_units::Span;
 
 use crate::{desk, engine};
@@ -61,6 +62,11 @@
         /// Number of targets.
         count: usize,
     },
+    /// Callers come to the gateways of the second data centre instead of their own.
+    Shift {
+        /// Fraction of the callers.
+        share: f64,
+    },
     /// Engines are replaced one after the other, at equal intervals over the
     /// episode.
     Release {
@@ -80,6 +86,33 @@
     pub duration: Span,
 }
 
+/// How the speeds of targets differ.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Speeds {
+    /// How many times longer than specified work takes at engines, by turns, for good.
+    pub engines: &'static [f64],
+    /// The same for desk runners.
+    pub runners: &'static [f64],
+    /// Passing slowness of the runners' machines, if there is any.
+    pub passing: Option<Passing>,
+    /// Whether runners state the passing slowness in their answers.
+    pub are_stated: bool,
+}
+
+/// Machines that are slow for a while, drawn anew after each period.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Passing {
+    /// Fraction of the machines that are slow at a time.
+    pub share: f64,
+    /// How many times longer work takes there.
+    pub factor: f64,
+    /// How long it lasts.
+    pub period: Span,
+}
+
+/// Targets of equal speed.
+const EQUAL: Speeds = Speeds { engines: &[1.0], runners: &[1.0], passing: None, are_stated: false };
+
 /// A fleet, its load and its disturbances.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Scenario {
@@ -97,6 +130,13 @@
     pub episodes: Vec<Episode>,
     /// How long the load lasts.
     pub duration: Span,
+    /// What the deployment calls for.
+    pub features: Features,
+    /// How the speeds of targets differ.
+    pub speeds: Speeds,
+    /// Standard deviation of the logarithm of callers' hints about the length of answers,
+    /// if they give hints.
+    pub hint_error: Option<f64>,
 }
 
 /// Returns a small site under steady load: 6 gateways, 9 engines, 3 desk runners
@@ -120,6 +160,9 @@
         workloads: workloads(),
         episodes: Vec::new(),
         duration: Span::from_secs(30),
+        features: Features::default(),
+        speeds: EQUAL,
+        hint_error: None,
     }
 }
 
@@ -185,6 +228,56 @@
     ]
 }
 
+/// Returns the desk runners of a large site of 66 or 36 gateways, whose machines are slow by
+/// turns and say so.
+pub fn uneven(vms: usize) -> Scenario {
+    let (millis, rates, goal) = match vms < 50 {
+        true => (30, [182.0, 72.8], 150),
+        false => (60, [161.0, 37.3], 300),
+    };
+    let mut workloads = workloads();
+    workloads.retain(|workload| !workload.kind.is_stream());
+    for (workload, rate) in workloads.iter_mut().zip(rates) {
+        workload.rate = rate;
+        workload.latency_goal = Span::from_millis(goal);
+        workload.deadline = Span::from_secs(2);
+    }
+    let runner = desk::Spec { slots: 6, queue: 24, service_time: Span::from_millis(millis) };
+    let passing = Passing { share: 0.15, factor: 2.5, period: Span::from_millis(600) };
+    Scenario {
+        name: "uneven",
+        vms,
+        engines: (0, steady().engines.1),
+        runners: (4, runner),
+        workloads,
+        speeds: Speeds { passing: Some(passing), are_stated: true, ..EQUAL },
+        features: Features { room: true, ..Features::default() },
+        ..steady()
+    }
+}
+
+/// Returns engines of two makes, one of which is slower for good, with callers that hint
+/// the length of their answers.
+pub fn two_makes(vms: usize) -> Scenario {
+    let mut workloads = workloads();
+    workloads.retain(|workload| workload.kind.is_stream());
+    for workload in &mut workloads {
+        workload.rate *= 3.0;
+    }
+    Scenario {
+        name: "two-makes",
+        vms,
+        engines: (27, steady().engines.1),
+        runners: (0, steady().runners.1),
+        workloads,
+        speeds: Speeds { engines: &[1.0, 1.0, 1.3], ..EQUAL },
+        features: Features { room: true, ..Features::default() },
+        hint_error: Some(0.5),
+        duration: Span::from_secs(16),
+        ..steady()
+    }
+}
+
 /// Returns the desk runners of a large site, half of which are lost. The others
 /// can serve nine tenths of the requests.
 fn runners_only(crash: Episode) -> Scenario {
--- a/crates/routing/src/speed.rs
+++ b/crates/routing/src/speed.rs
@@ -27,8 +27,11 @@
 /// Largest factor between the time of one answer and the usual one that counts, as a
 /// logarithm: a single answer may take long for its own reasons.
 const MAX_LOG_RATIO: f64 = 1.6;
-/// Age at which what a target states of this moment no longer counts. It changes every
-/// half second or so, and is as likely as not to have changed by then.
+/// Time after which what a target states of this moment has changed for certain. The
+/// belief in it falls evenly to that time.
+const CHANGE_TIME: Span = Span::from_millis(600);
+/// Age at which what a target states no longer counts: it is as likely as not to have
+/// changed, and most machines are not slow.
 const STATED_TTL: Span = Span::from_millis(300);
 /// Range of the stated factor that is believed.
 const STATED_RANGE: (f64, f64) = (0.25, 10.0);
@@ -104,7 +107,7 @@
     /// let stated = Stated { percent: 250, at: Moment(0) };
     /// let after = |millis| stated.slowness(Moment(0) + Span::from_millis(millis));
     /// assert_eq!(after(0), 2.5);
-    /// assert_eq!(after(150), 1.75);
+    /// assert_eq!(after(150), 2.125);
     /// assert_eq!(after(300), 1.0);
     /// ```
     pub fn slowness(&self, now: Moment) -> f64 {
@@ -112,7 +115,7 @@
         if STATED_TTL <= age {
             return 1.0;
         }
-        let believed = 1.0 - age.as_secs_f64() / STATED_TTL.as_secs_f64();
+        let believed = 1.0 - age.as_secs_f64() / CHANGE_TIME.as_secs_f64();
         1.0 + believed * (self.factor() - 1.0)
     }
 
--- a/crates/routing/tests/all/main.rs
+++ b/crates/routing/tests/all/main.rs
@@ -8,6 +8,8 @@
 mod queue;
 mod rank;
 mod retry_window;
+mod room;
 mod selection;
+mod speed;
 mod spread;
 mod token;
