Let VMs tell each other of targets that are slow now

Cause: with 66 VMs a VM sends each plain target less than a request a second, so that its own answers seldom say that a machine is slow before that has changed.

Ruled out: the figure in heartbeats, which are 0.65 s apart there, and in reports to relays, which are 0.2 to 0.4 s old.

Change: a VM whose answer states that work takes half as long again tells all VMs within 50 ms, each target at most once in 150 ms over all VMs. A plain target that has turned a request away gets no more than its slots and the queue that it stated.

--- a/crates/gateway/src/limit.rs
+++ b/crates/gateway/src/limit.rs
@@ -224,6 +224,15 @@
 /// Minimum retry delay for callers for whose request no engine has memory: some answers end
 /// in this time.
 pub const RETRY_AFTER_NO_MEMORY: Span = Span::from_millis(200);
+/// Minimum time that work takes at a target, in percent of the usual, for VMs to tell each
+/// other of it.
+pub const MIN_TOLD_PERCENT: u32 = 150;
+/// Interval at which VMs tell each other that a target is still slow: half of the time for
+/// which what it states counts.
+pub const SLOW_REPEAT_INTERVAL: Span = Span::from_millis(150);
+/// Maximum number of slow targets in a report, so that a VM hears little of a pool that is
+/// slow as a whole.
+pub const MAX_REPORTED_SLOW: usize = 32;
 /// Minimum number of events of an answer by whose pace the speed of its engine is learned.
 pub const MIN_PACED_EVENTS: u32 = 4;
 /// Minimum retry delay for callers whose request crashes targets.
--- a/crates/gateway/src/request/room.rs
+++ b/crates/gateway/src/request/room.rs
@@ -75,7 +75,24 @@
         };
         let bound = &self.ctx.me.bounds.engine_load;
         let slowness = |runner: &Candidate<'_>| self.slowness(runner);
-        speed::select_runner(candidates, slowness, loads, bound, self.ctx.entropy)
+        let select = |runners: &[Candidate<'_>]| {
+            speed::select_runner(runners, slowness, loads, bound, self.ctx.entropy)
+        };
+        let has_place = |runner: &&Candidate<'_>| self.has_place(runner);
+        let open: Vec<_> = candidates.iter().filter(has_place).copied().collect();
+        let selected = select(&open).map(|index| open[index].name);
+        match selected {
+            Some(name) => candidates.iter().position(|runner| runner.name == name),
+            // Counts may be older than the answers that have ended since.
+            None => select(candidates),
+        }
+    }
+
+    /// Returns false if a target without memory to plan holds as many requests as it can.
+    fn has_place(&self, runner: &Candidate<'_>) -> bool {
+        let entry = self.view.targets.get_by_hash(TargetHash::of(runner.name));
+        let places = entry.and_then(|(_, entry)| entry.places());
+        !self.ctx.me.features.room || places.is_none_or(|places| runner.load < places)
     }
 
     /// Returns the free memory of an engine in tokens, if requests are placed by it.
--- a/crates/gateway/src/request/work.rs
+++ b/crates/gateway/src/request/work.rs
@@ -39,7 +39,7 @@
         pending.own_tokens() + output
     }
 
-    /// Records how a send ended, if its answer was complete.
+    /// Records what the end of a send shows.
     pub(super) fn record_end(
         &mut self,
         step: &mut Step<'_, '_>,
@@ -47,10 +47,13 @@
         active: &ActiveSend,
         end: &End,
     ) {
+        let (route, now) = (&pending.route.id, step.ctx.at);
+        if matches!(end, End::NotRun { moved: false, .. }) {
+            step.view.targets.record_full(&active.target, now);
+        }
         if !matches!(end, End::Complete { ok: true }) {
             return;
         }
-        let (route, now) = (&pending.route.id, step.ctx.at);
         let Active { began_at, events, .. } = active.work;
         // Only a part of an answer that a second target continued is known.
         if let (Some(hint), Some(events)) = (pending.arrival.length.hint, events)
@@ -66,6 +69,10 @@
             (None, _) if pending.route.kind.is_stream() || active.work.found_queue => None,
             (None, _) => Some(now.since(active.at).as_secs_f64()),
         };
+        // VMs send plain requests to all targets of a pool, and few each.
+        if pending.parts.is_empty() {
+            step.view.targets.tell_speed(&active.target, now);
+        }
         let ratio = seconds.and_then(|seconds| self.usual.record(route, seconds, now));
         if let Some(ratio) = ratio {
             step.view.targets.record_speed(&active.target, ratio, now);
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -95,6 +95,7 @@
         self.targets.tick(ctx, out);
         self.targets.tick_limits(ctx, &self.peers, out);
         self.targets.tick_leaving(ctx, &self.peers, out);
+        self.targets.tick_speeds(ctx, &self.peers, out);
         self.poison.tick(ctx, &self.peers, out);
         self.cache.tick(ctx.at);
         self.write_holdings(ctx, out);
@@ -216,6 +217,11 @@
                     self.targets.receive_leaving(ctx, &report, out);
                 }
             }
+            Datagram::SpeedReport(report) => {
+                if self.peers.address(&report.from).is_some() {
+                    self.targets.receive_speeds(ctx, &report);
+                }
+            }
             Datagram::SyncRequest(request) => {
                 if let Some(address) = self.peers.address(&request.from) {
                     self.sync.handle_request(ctx, &request, address, out);
--- a/crates/gateway/src/target/mod.rs
+++ b/crates/gateway/src/target/mod.rs
@@ -97,6 +97,9 @@
     pub backlog: u64,
     /// Memory that these requests are expected to need, in tokens.
     memory: u64,
+    /// Largest number of waiting requests that it has stated, once it has turned a request
+    /// away while others waited.
+    queue: Option<u32>,
     /// How fast it works.
     speed: speed::Speed,
     /// Health, judged by the target's answers.
@@ -127,6 +130,7 @@
             requests: 0,
             backlog: 0,
             memory: 0,
+            queue: None,
             speed: speed::Speed::default(),
             health: Health::default(),
             version,
@@ -226,6 +230,7 @@
     leaving_news: News<Leaving>,
     /// A target has stated its speed.
     states_speed: bool,
+    speed_news: speed::News,
 }
 
 impl State {
--- a/crates/gateway/src/target/room.rs
+++ b/crates/gateway/src/target/room.rs
@@ -1,7 +1,7 @@
 //! The memory of engines.
 
 use briarshift_routing::room::Memory;
-use briarshift_units::TargetId;
+use briarshift_units::{Moment, TargetId};
 
 use super::{Entry, Query, State};
 
@@ -25,9 +25,26 @@
             stated_requests: stated.map_or(0, |load| load.running.saturating_add(load.waiting)),
         }
     }
+
+    /// Returns the number of requests that the target is known to hold at most, running and
+    /// waiting.
+    pub fn places(&self) -> Option<u32> {
+        self.queue.map(|queue| self.target.slots.saturating_add(queue))
+    }
 }
 
 impl State {
+    /// Records that a target turned a request away. What it states beside that shows how
+    /// many it lets wait, if it does that at all.
+    pub fn record_full(&mut self, id: &TargetId, now: Moment) {
+        let Some(entry) = self.entries.get_mut(id) else { return };
+        let stated = entry.reported_load.filter(|(_, at)| *at == now);
+        let waiting = stated.map_or(0, |(load, _)| load.waiting);
+        if 0 < waiting {
+            entry.queue = Some(entry.queue.unwrap_or(0).max(waiting));
+        }
+    }
+
     /// Counts the memory that a request is expected to need at an engine, in tokens.
     pub fn add_memory(&mut self, id: &TargetId, tokens: u64) {
         if let Some(entry) = self.entries.get_mut(id) {
--- a/crates/gateway/tests/all/random.rs
+++ b/crates/gateway/tests/all/random.rs
@@ -2,14 +2,15 @@
 
 use std::collections::BTreeMap;
 
-use briarshift_gateway::Kind;
 use briarshift_gateway::request::{Decision, End, Event as Request, Send};
+use briarshift_gateway::target::Entry;
+use briarshift_gateway::{Features, Kind};
 use briarshift_store::registry::Name;
 use briarshift_units::RequestId;
 use proptest::prelude::{Strategy, any, prop};
 use proptest::{prop_oneof, proptest};
 
-use crate::world::{World, catalog, interrupted, leaving, not_sent, target};
+use crate::world::{World, catalog, interrupted, leaving, not_sent, prompt, target};
 
 const PATHS: [&str; 4] = ["/safe/a", "/book/a", "/chat/a", "/long/a"];
 const IDS: [&str; 3] = ["t-1", "t-2", "t-3"];
@@ -96,8 +97,11 @@
     }
 }
 
-fn run_steps(steps: Vec<Step>) {
-    let mut world = World::new(&IDS);
+/// Runs the steps with what the deployment calls for.
+fn run_steps(steps: Vec<Step>, features: Features) {
+    let mut world = World::with_features(features);
+    world.tick();
+    world.read(&IDS);
     let mut checker = Checker::default();
     let mut revision = 1;
     for (number, step) in steps.into_iter().enumerate() {
@@ -105,7 +109,11 @@
             Step::RequestArrives(path) => {
                 let id = RequestId(checker.requests.len() as u64 + 1);
                 checker.requests.insert(id, Progress { path, ..Progress::default() });
-                world.arrive(PATHS[path]);
+                world.arrive_with(PATHS[path], |arrival| {
+                    if features.room {
+                        arrival.parts = prompt(path as u64, number as u64 % 5);
+                    }
+                });
             }
             Step::End(which, kind) if !checker.running.is_empty() => {
                 let send = checker.running.remove(which % checker.running.len());
@@ -142,12 +150,30 @@
             Step::Drain => {}
         }
         checker.check(&world);
+        check_memory(&world, &checker.running);
+    }
+}
+
+/// Checks that memory of targets is counted only for requests that run there.
+fn check_memory(world: &World, running: &[Send]) {
+    for id in IDS {
+        let is_used = running.iter().any(|send| send.target.as_str() == id);
+        let entry = world.state.targets().get(&id.parse().unwrap());
+        let memory = entry.map_or(0, Entry::own_memory);
+        assert!(is_used || memory == 0, "{memory} tokens of {id} are taken by nothing");
     }
 }
 
 proptest! {
     #[test]
     fn guarantees_hold_in_any_order_of_events(steps in prop::collection::vec(step(), 0..120)) {
-        run_steps(steps);
+        run_steps(steps, Features::default());
+    }
+
+    #[test]
+    fn guarantees_hold_where_requests_are_placed_by_room(
+        steps in prop::collection::vec(step(), 0..120),
+    ) {
+        run_steps(steps, Features { fair_shares: false, room: true });
     }
 }
--- a/crates/gateway/tests/all/room.rs
+++ b/crates/gateway/tests/all/room.rs
@@ -1,12 +1,17 @@
 //! Placement by the memory of engines and the speed of targets, under load and failure.
 
+use std::collections::BTreeMap;
+
 use briarshift_gateway::request::{Cause, Decision, End, Event as Request, Send};
 use briarshift_gateway::{Features, Kind, target};
 use briarshift_routing::room::Length;
 use briarshift_store::registry::{Name, Target, Value};
-use briarshift_units::StartNumber;
+use briarshift_units::{Span, StartNumber};
 use briarshift_wire::datagram::Datagram;
 use briarshift_wire::heartbeat::{Load, TargetHash};
+use briarshift_wire::speed::{Report, Slow};
+use proptest::prelude::prop;
+use proptest::{prop_assert_eq, proptest};
 
 use crate::world::{
     World, changes, expect_refusal, expect_send, heartbeat, interrupted, member, prompt, target,
@@ -245,3 +250,101 @@
     // A quarter of 600 requests would be 150.
     assert!(slow[1] < 110, "{slow:?}");
 }
+
+/// Returns a report of a peer that a target was slow this long ago.
+fn slow_report(vm: &str, target: &str, percent: u32, age: u64) -> Kind {
+    let slow = Slow { target: TargetHash::of(target), percent, age: Span::from_millis(age) };
+    Kind::Datagram(Datagram::SpeedReport(Report { from: vm.parse().unwrap(), slow: vec![slow] }))
+}
+
+/// Returns the slowness that the next 20 requests found at a target, if one went there.
+fn slowness_at(world: &mut World, id: &str) -> Option<f64> {
+    let found = (0..20).filter_map(|_| {
+        let send = expect_send(world.arrive("/safe/a"));
+        let slowness = (send.target.as_str() == id).then(|| placed(world, "slow"));
+        world.apply(Kind::Request(Request::CallerLeft(send.id.request)));
+        slowness.flatten()
+    });
+    found.reduce(f64::max)
+}
+
+#[test]
+fn peers_tell_of_a_slow_target() {
+    let mut world = world(&["t-1"]);
+    world.change_row(Name::Member("vm-2".parse().unwrap()), Some(member("vm-2")));
+    world.apply(slow_report("vm-2", "t-1", 250, 0));
+    assert_eq!(slowness_at(&mut world, "t-1"), Some(2.5));
+    // An older report changes nothing, a report of a VM that is not known neither.
+    world.apply(slow_report("vm-2", "t-1", 900, 100));
+    world.apply(slow_report("vm-9", "t-1", 900, 0));
+    assert_eq!(slowness_at(&mut world, "t-1"), Some(2.5));
+    // The link to the peer is cut: what it said last no longer counts.
+    world.advance(300);
+    assert_eq!(slowness_at(&mut world, "t-1"), Some(1.0));
+}
+
+/// A pool that is slow as a whole makes a VM tell of each target once in 150 ms.
+#[test]
+fn peers_are_told_of_slow_targets_seldom() {
+    let mut world = world(&["t-1"]);
+    world.change_row(Name::Member("vm-2".parse().unwrap()), Some(member("vm-2")));
+    world.datagrams.clear();
+    for _ in 0..100 {
+        let send = expect_send(world.arrive("/safe/a"));
+        let load = target::Load { running: 1, waiting: 0, slots: 8, work_percent: Some(250) };
+        let report = Some(target::Report { load: Some(load), ..target::Report::default() });
+        let end = End::Complete { ok: true };
+        world.apply(Kind::Request(Request::SendEnded { id: send.id, end, report }));
+        world.advance(10);
+        world.reply_rows(changes(), Ok(Vec::new()));
+        world.tick();
+    }
+    let is_told = |datagram: &&Datagram| matches!(datagram, Datagram::SpeedReport(_));
+    let told = world.datagrams.iter().filter(is_told).count();
+    assert!((5..=8).contains(&told), "{told}");
+}
+
+/// A plain target has places for what it runs and for what it lets wait.
+#[test]
+fn a_full_runner_gets_nothing_while_another_has_places() {
+    let mut world = world(&["t-1", "t-2"]);
+    let full = loop {
+        let send = expect_send(world.arrive("/book/a"));
+        if send.target.as_str() == "t-1" {
+            break send;
+        }
+        world.end(&send, End::Complete { ok: true });
+    };
+    let load = target::Load { running: 8, waiting: 2, slots: 8, work_percent: None };
+    let report = Some(target::Report { load: Some(load), ..target::Report::default() });
+    let end = End::NotRun { status: 503, moved: false };
+    world.apply(Kind::Request(Request::SendEnded { id: full.id, end, report }));
+    world.advance(3_000);
+    world.reply_rows(changes(), Ok(Vec::new()));
+    let targets: Vec<_> =
+        (0..40).map(|_| expect_send(world.arrive("/book/a")).target.to_string()).collect();
+    assert_eq!(targets.iter().filter(|id| *id == "t-1").count(), 10, "{targets:?}");
+}
+
+proptest! {
+    /// The sum over peers is that of their latest reports, whatever came before.
+    #[test]
+    fn the_memory_of_peers_is_the_sum_of_their_latest_reports(
+        reports in prop::collection::vec((2..5_u64, 0..20_000_u64), 0..30),
+    ) {
+        let mut world = world(&["t-1"]);
+        for vm in ["vm-2", "vm-3", "vm-4"] {
+            world.change_row(Name::Member(vm.parse().unwrap()), Some(member(vm)));
+            world.apply(report(vm, 1, 1, 0));
+        }
+        let mut latest = BTreeMap::new();
+        for (sequence, (vm, memory)) in reports.into_iter().enumerate() {
+            world.apply(report(&format!("vm-{vm}"), sequence as u64 + 2, 1, memory));
+            latest.insert(vm, memory);
+            let send = expect_send(arrive(&mut world, 1, 100));
+            world.apply(Kind::Request(Request::CallerLeft(send.id.request)));
+            let free = 184_000 - 8_500 - latest.values().sum::<u64>();
+            prop_assert_eq!(placed(&world, "room"), Some(free));
+        }
+    }
+}
--- a/crates/wire/src/datagram.rs
+++ b/crates/wire/src/datagram.rs
@@ -7,6 +7,7 @@
 use crate::leaving;
 use crate::limit;
 use crate::load::Report;
+use crate::speed;
 use crate::sync::{Request, Response};
 use crate::{Error, versioned};
 
@@ -31,6 +32,8 @@
     LimitReport(limit::Report),
     /// Targets that leave, sent to all peers as they are learned.
     LeavingReport(leaving::Report),
+    /// Targets whose machines are slow now, sent to all peers as they are learned.
+    SpeedReport(speed::Report),
 }
 
 impl Datagram {
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod load;
 pub mod reservation;
 pub mod poison;
+pub mod speed;
 pub mod sync;
 
 pub use codec::{Error, Frame, MAX_FRAME, VERSION};
