Let prompts wait at engines that have their parts

Cause: a prompt that left an engine for a moment's lack of memory made its shared parts take room on a second engine, then on more.

Change: an engine that has a prompt's shared parts may get half as much again as its memory holds; one that would have to read them only what it holds. The shared parts in use are those of as many requests as run there.

--- a/crates/gateway/src/cache.rs
+++ b/crates/gateway/src/cache.rs
@@ -49,11 +49,17 @@
         self.engines.get(&engine).map_or(0, |cache| cache.cached_tokens(parts, now))
     }
 
-    /// Returns the tokens of the shared parts that an engine's requests are assumed to use
-    /// if a prompt with these parts joins them.
-    pub fn tokens_in_use(&self, engine: TargetHash, parts: &[(Prefix, u32)], now: Moment) -> u64 {
+    /// Returns the tokens of the shared parts that an engine's requests, of which there are
+    /// `requests`, are assumed to use if a prompt with these parts joins them.
+    pub fn tokens_in_use(
+        &self,
+        engine: TargetHash,
+        parts: &[(Prefix, u32)],
+        requests: u32,
+        now: Moment,
+    ) -> u64 {
         let unused = Cache::default();
-        self.engines.get(&engine).unwrap_or(&unused).tokens_in_use(parts, now)
+        self.engines.get(&engine).unwrap_or(&unused).tokens_in_use(parts, requests, now)
     }
 
     /// Finds the longest prefix of a prompt that any engine accepted by
--- a/crates/gateway/src/request/choice.rs
+++ b/crates/gateway/src/request/choice.rs
@@ -100,7 +100,8 @@
     let Candidate { name, load, backlog, .. } = *candidate;
     let cached_tokens = cached_by(candidate);
     let target: TargetId = name.parse().map_err(|_| denied)?;
-    let (room, slowness) = (placement.room(candidate), placement.known_slowness(candidate));
+    let room = placement.room(candidate, cached_tokens);
+    let slowness = placement.known_slowness(candidate);
     let has_queue = candidate.slots <= load;
     let fetch_from = find_holder(step, pending, &target, cached_tokens);
     let available = fetch_from.as_ref().map_or(cached_tokens, |holder| holder.cached_tokens);
--- a/crates/gateway/src/request/room.rs
+++ b/crates/gateway/src/request/room.rs
@@ -60,11 +60,12 @@
         cached: impl Fn(&Candidate<'c>) -> u64,
     ) -> Option<usize> {
         let cost = |engine: &Candidate<'c>| {
-            let holds = self.memory_of(engine).is_none_or(|it| it.holds(self.pending.memory));
+            let memory = self.memory_of(engine, cached(engine));
+            let holds = memory.is_none_or(|it| it.holds(self.pending.memory));
             holds.then(|| f64::from(engine.load + 1) * self.slowness(engine))
         };
         let bound = &self.ctx.me.bounds.engine_load;
-        selection::select_engine_by(candidates, prompt, bound, cached, cost, self.ctx.entropy)
+        selection::select_engine_by(candidates, prompt, bound, &cached, cost, self.ctx.entropy)
     }
 
     /// Selects the target of a request without a prompt.
@@ -96,8 +97,8 @@
     }
 
     /// Returns the free memory of an engine in tokens, if requests are placed by it.
-    pub(super) fn room(&self, engine: &Candidate<'_>) -> Option<u64> {
-        self.memory_of(engine).map(|memory| memory.free(self.pending.memory))
+    pub(super) fn room(&self, engine: &Candidate<'_>, cached: u64) -> Option<u64> {
+        self.memory_of(engine, cached).map(|memory| memory.free(self.pending.memory))
     }
 
     /// Returns how many times longer than usual work takes at a target, if requests are
@@ -111,12 +112,13 @@
         entry.map_or(1.0, |(_, entry)| entry.slowness(self.ctx.at))
     }
 
-    fn memory_of(&self, engine: &Candidate<'_>) -> Option<Memory> {
+    fn memory_of(&self, engine: &Candidate<'_>, cached: u64) -> Option<Memory> {
         let size = self.memory.filter(|_| !self.pending.parts.is_empty())?;
         let hash = TargetHash::of(engine.name);
         let (_, entry) = self.view.targets.get_by_hash(hash)?;
         let parts = self.pending.shared_parts();
-        let shared = self.view.cache.tokens_in_use(hash, parts, self.ctx.at);
-        Some(entry.memory(self.query, size, shared))
+        let shared = self.view.cache.tokens_in_use(hash, parts, engine.load, self.ctx.at);
+        let has_prompt = self.pending.shared_tokens() <= cached;
+        Some(Memory { has_prompt, ..entry.memory(self.query, size, shared) })
     }
 }
--- a/crates/gateway/src/target/room.rs
+++ b/crates/gateway/src/target/room.rs
@@ -22,6 +22,7 @@
             shared,
             own: self.memory.saturating_add(peers.memory),
             known_requests: self.requests.saturating_add(peers.requests),
+            has_prompt: false,
             stated_requests: stated.map_or(0, |load| load.running.saturating_add(load.waiting)),
         }
     }
--- a/crates/model/src/engine.rs
+++ b/crates/model/src/engine.rs
@@ -6,7 +6,7 @@
 //! which prolongs the step for all requests. A fixed number of tokens makes one
 //! event of the answer.
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::{BTreeMap, HashMap, VecDeque};
 
 use briarshift_routing::cache::Prefix;
 use briarshift_units::{Moment, Span};
@@ -113,6 +113,24 @@
         (self.running.len() as u32, self.waiting.len() as u32)
     }
 
+    /// Returns true if the requests on it, running and waiting, need more memory than it has:
+    /// their shared parts once, their own parts and their whole answers.
+    pub fn is_overfull(&self) -> bool {
+        let running = self.running.iter().map(|running| &running.task);
+        let mut shared = BTreeMap::new();
+        let mut own = 0;
+        for task in running.chain(&self.waiting) {
+            let (last, parts) = task
+                .parts
+                .split_last()
+                .map_or((0, &[][..]), |(last, parts)| (u64::from(last.1), parts));
+            own += last + u64::from(task.events * self.spec.tokens_per_event);
+            shared.extend(parts.iter().copied());
+        }
+        let shared: u64 = shared.values().map(|tokens| u64::from(*tokens)).sum();
+        self.spec.memory_tokens < shared + own
+    }
+
     /// Queues a request, ahead of those with a lower priority.
     pub fn accept(&mut self, task: Task) {
         let index = self.waiting.iter().position(|waiting| task.priority < waiting.priority);
--- a/crates/model/src/fleet/job.rs
+++ b/crates/model/src/fleet/job.rs
@@ -73,6 +73,7 @@
         match &mut self.targets[target].server {
             Server::Engine(engine) => {
                 engine.accept(task);
+                self.results.overfull_sends += u64::from(engine.is_overfull());
                 if !self.targets[target].is_stepping {
                     self.targets[target].is_stepping = true;
                     self.scheduler.schedule(Span::ZERO, Action::StepEngine(target));
--- a/crates/model/src/results.rs
+++ b/crates/model/src/results.rs
@@ -50,6 +50,8 @@
     /// Number of those that reached an engine with a load above twice the pool's
     /// mean plus three.
     pub overloaded_sends: u64,
+    /// Number of sends after which the requests on an engine needed more memory than it has.
+    pub overfull_sends: u64,
     /// Number of sends to desk runners.
     pub runner_sends: u64,
     /// Number of those that reached a runner with a load above twice the pool's mean plus
--- a/crates/model/src/scenario.rs
+++ b/crates/model/src/scenario.rs
@@ -278,6 +278,26 @@
     }
 }
 
+/// Returns engines with little memory, under a burst in which a third of them is lost.
+pub fn little_memory(vms: usize) -> Scenario {
+    let episode = |disturbance| Episode {
+        disturbance,
+        start: Span::from_secs(4),
+        duration: Span::from_secs(6),
+    };
+    let scenario = two_makes(vms);
+    let (count, engine) = scenario.engines;
+    Scenario {
+        name: "little-memory",
+        engines: (count, engine::Spec { memory_tokens: 40_000, ..engine }),
+        episodes: vec![
+            episode(Disturbance::Burst { factor: 2.0 }),
+            episode(Disturbance::Crash { runners: false, count: count / 3 }),
+        ],
+        ..scenario
+    }
+}
+
 /// Returns the desk runners of a large site, half of which are lost. The others
 /// can serve nine tenths of the requests.
 fn runners_only(crash: Episode) -> Scenario {
--- a/crates/model/tests/all/uneven.rs
+++ b/crates/model/tests/all/uneven.rs
@@ -91,3 +91,35 @@
     let over = speed.overloaded_sends as f64 / speed.sends as f64;
     assert!(over <= MAX_OVERLOADED_SHARE, "{over}");
 }
+
+/// Engines with little memory under twice the load, a third of them lost: requests wait
+/// less, and fewer reach an engine that has no memory for them.
+#[track_caller]
+fn check_little_memory(vms: usize, hint_error: f64) {
+    let scenario = Scenario { hint_error: Some(hint_error), ..scenario::little_memory(vms) };
+    let (counts, room) = (fleet::run(&by_counts(&scenario), 1), fleet::run(&scenario, 1));
+    let share = |run: &Results, outcome| run.share(None, outcome);
+    let (before, after) = (share(&counts, Outcome::InTime), share(&room, Outcome::InTime));
+    let overfull = |run: &Results| run.overfull_sends as f64 / run.sends as f64;
+    println!("in time {before:.4} -> {after:.4}, refused {:.4}", share(&room, Outcome::Refused));
+    println!("overfull {:.3} -> {:.3}", overfull(&counts), overfull(&room));
+    assert!(before <= after, "{before} -> {after}");
+    assert!(overfull(&room) <= overfull(&counts));
+    assert!(share(&room, Outcome::Refused) <= 0.01);
+}
+
+#[test]
+fn engines_with_little_memory_are_not_overfilled_by_6_vms() {
+    check_little_memory(6, 0.5);
+}
+
+#[test]
+fn engines_with_little_memory_are_not_overfilled_by_36_vms() {
+    check_little_memory(36, 0.5);
+}
+
+/// Hints are often ten times too high or too low.
+#[test]
+fn wrong_hints_do_no_harm() {
+    check_little_memory(36, 2.3);
+}
--- a/crates/routing/src/cache.rs
+++ b/crates/routing/src/cache.rs
@@ -7,6 +7,7 @@
 //! engines: it derives their cache contents from the prompts that any VM sent to
 //! them. Reports of other VMs' prompts arrive with a delay.
 
+use std::cmp::Reverse;
 use std::collections::HashMap;
 
 use briarshift_units::{Moment, Span};
@@ -99,8 +100,9 @@
         parts.iter().take_while(is_cached).map(|(_, tokens)| u64::from(*tokens)).sum()
     }
 
-    /// Returns the tokens of the shared parts that the engine's requests are assumed to
-    /// use if a prompt with these parts joins them. Parts used recently count, each once.
+    /// Returns the tokens of the shared parts that the engine's requests, of which there are
+    /// `requests`, are assumed to use if a prompt with these parts joins them: the parts
+    /// that were used last, each once, for each request as many as this prompt has.
     ///
     /// # Examples
     ///
@@ -111,17 +113,27 @@
     /// let parts = prefixes(&[Part { id: 1, tokens: 100 }, Part { id: 2, tokens: 50 }]);
     /// let mut cache = Cache::default();
     /// cache.record(&parts[..1], 1_000, Moment(0));
-    /// assert_eq!(cache.tokens_in_use(&parts, Moment(1)), 150);
-    /// assert_eq!(cache.tokens_in_use(&[], Moment(0) + Span::from_secs(9)), 0);
+    /// let other = prefixes(&[Part { id: 3, tokens: 30 }]);
+    /// assert_eq!(cache.tokens_in_use(&other, 1, Moment(1)), 130);
+    /// assert_eq!(cache.tokens_in_use(&parts, 1, Moment(1)), 150);
+    /// assert_eq!(cache.tokens_in_use(&other, 0, Moment(1)), 30);
+    /// assert_eq!(cache.tokens_in_use(&[], 1, Moment(0) + Span::from_secs(9)), 0);
     /// ```
-    pub fn tokens_in_use(&self, parts: &[(Prefix, u32)], now: Moment) -> u64 {
-        let is_in_use = |used_at: &Moment| now.since(*used_at) < USE_TIME;
-        let used = self.parts.values().filter(|(_, used_at)| is_in_use(used_at));
-        let used: u64 = used.map(|(tokens, _)| u64::from(*tokens)).sum();
-        let is_new =
-            |prefix: &Prefix| self.parts.get(prefix).is_none_or(|(_, used_at)| !is_in_use(used_at));
-        let new = parts.iter().filter(|(prefix, _)| is_new(prefix));
-        used + new.map(|(_, tokens)| u64::from(*tokens)).sum::<u64>()
+    pub fn tokens_in_use(&self, parts: &[(Prefix, u32)], requests: u32, now: Moment) -> u64 {
+        let is_other = |prefix: &Prefix| parts.iter().all(|(part, _)| part != prefix);
+        let used = self
+            .parts
+            .iter()
+            .filter(|(prefix, (_, used_at))| now.since(*used_at) < USE_TIME && is_other(prefix));
+        let mut used: Vec<_> =
+            used.map(|(prefix, (tokens, used_at))| (Reverse(*used_at), *prefix, *tokens)).collect();
+        let count = (requests as usize).saturating_mul(parts.len());
+        if count < used.len() {
+            used.select_nth_unstable(count);
+            used.truncate(count);
+        }
+        let own: u64 = parts.iter().map(|(_, tokens)| u64::from(*tokens)).sum();
+        own + used.iter().map(|(_, _, tokens)| u64::from(*tokens)).sum::<u64>()
     }
 
     /// Returns true if the prefix is recorded, even if its last use is longer
--- a/crates/routing/src/room.rs
+++ b/crates/routing/src/room.rs
@@ -10,9 +10,12 @@
 //! A request needs memory for the shared parts of its prompt, which the requests on an
 //! engine share, and for its own part and its answer. How long an answer gets is known from
 //! the caller's hint, corrected by [`Answers`], which learns how much hints of this kind of
-//! request have been worth. The invariant: no VM sends a request to an engine that, by all
-//! that this VM knows, cannot hold it beside those that it has. An engine without requests
-//! accepts any request that fits into its memory, so that none waits for ever for its size.
+//! request have been worth. The invariant: no VM sends a prompt to an engine that, by all
+//! that this VM knows, would have to read its shared parts and cannot hold it beside those
+//! that it has. An engine that has the parts may get somewhat more than it holds, which
+//! waits there: prompts that go elsewhere for a moment's lack of room make their parts take
+//! room on two engines, and then on more. An engine without requests accepts any request
+//! that fits into its memory, so that none waits for ever for its size.
 
 use std::collections::BTreeMap;
 
@@ -21,8 +24,14 @@
 /// Part of an engine's memory that is not planned, in percent. Requests that other VMs have
 /// sent since their last report, and answers that get longer than expected, use it.
 const RESERVE_PERCENT: u64 = 8;
+/// Memory that requests may need at an engine that has the shared parts of a prompt, in
+/// percent of its size. The prompt waits there until others have ended, which takes less
+/// than to read the parts on another engine, where they would take the room of others.
+const MAX_PERCENT_WITH_PROMPT: u64 = 150;
 /// Expected length of an answer of which nothing is known, in tokens.
 const UNKNOWN_OUTPUT: u32 = 500;
+/// Largest hint that is believed before answers have shown what hints are worth, in tokens.
+const MAX_UNLEARNED_HINT: u32 = 4_000;
 /// Weight that an answer loses with each later one: the last 200 count.
 const DECAY: f64 = 1.0 - 1.0 / 200.0;
 /// Number of answers from which on they correct the hints.
@@ -101,7 +110,7 @@
         let stated = length.hint.map(|hint| hint.clamp(1, most));
         let expected = match (self.weight < MIN_ANSWERS, stated) {
             (false, stated) => self.corrected(stated) as u32,
-            (true, Some(hint)) => hint,
+            (true, Some(hint)) => hint.min(MAX_UNLEARNED_HINT),
             (true, None) => length.max_output.unwrap_or(UNKNOWN_OUTPUT),
         };
         u64::from(expected.clamp(1, most))
@@ -192,6 +201,8 @@
     pub known_requests: u32,
     /// Number of requests that it has itself stated.
     pub stated_requests: u32,
+    /// It has the shared parts of the request to be placed.
+    pub has_prompt: bool,
 }
 
 impl Memory {
@@ -203,8 +214,10 @@
     ///
     /// ```
     /// use briarshift_routing::room::Memory;
-    /// let memory =
-    ///     Memory { size: 10_000, shared: 2_000, own: 3_000, known_requests: 4, stated_requests: 0 };
+    /// let memory = Memory {
+    ///     size: 10_000, shared: 2_000, own: 3_000, known_requests: 4, stated_requests: 0,
+    ///     has_prompt: false,
+    /// };
     /// assert_eq!(memory.free(500), 4_200);
     /// assert_eq!(Memory { stated_requests: 6, ..memory }.free(500), 3_200);
     /// ```
@@ -216,20 +229,27 @@
     }
 
     /// Returns true if the engine can hold a request that needs `need` tokens beside its
-    /// shared parts.
+    /// shared parts, or soon can.
     ///
     /// # Examples
     ///
     /// ```
     /// use briarshift_routing::room::Memory;
-    /// let busy =
-    ///     Memory { size: 10_000, shared: 2_000, own: 7_000, known_requests: 3, stated_requests: 3 };
+    /// let busy = Memory {
+    ///     size: 10_000, shared: 2_000, own: 7_000, known_requests: 3, stated_requests: 3,
+    ///     has_prompt: false,
+    /// };
     /// assert!(!busy.holds(500));
+    /// assert!(Memory { has_prompt: true, ..busy }.holds(500));
     /// assert!(Memory { own: 0, known_requests: 0, stated_requests: 0, ..busy }.holds(9_000));
     /// ```
     pub fn holds(&self, need: u64) -> bool {
-        let is_empty = self.known_requests == 0 && self.stated_requests == 0;
-        is_empty || need <= self.free(need)
+        if self.known_requests == 0 && self.stated_requests == 0 {
+            return true;
+        }
+        let percent = if self.has_prompt { MAX_PERCENT_WITH_PROMPT } else { 100 };
+        let size = self.size.saturating_add(self.size / 100 * (percent - 100));
+        need <= Self { size, ..*self }.free(need)
     }
 }
 
