--- a/crates/gateway/src/request/explain.rs
+++ b/crates/gateway/src/request/explain.rs
@@ -8,6 +8,7 @@
 //! Choices between equally good targets are drawn at random, so the target of the answer
 //! is one that the request may go to; the candidates show the others.
 
+use briarshift_routing::room::Length;
 use briarshift_routing::selection::Part;
 use briarshift_units::{AccountId, AttemptId, Fingerprint, PoolId, RequestId, Span, TargetId};
 use serde::{Deserialize, Serialize};
@@ -218,6 +219,7 @@
         key,
         deadline: question.deadline,
         parts: question.parts.clone(),
+        length: Length::default(),
         fingerprint: Fingerprint(0),
     }
 }
--- a/crates/gateway/src/request/mod.rs
+++ b/crates/gateway/src/request/mod.rs
@@ -12,10 +12,12 @@
 mod event;
 pub mod explain;
 mod pending;
+mod placement;
 mod record;
 mod refusal;
 mod state;
 mod view;
+mod work;
 
 pub use event::{Arrival, Decision, End, Event, Send, SendId};
 pub use refusal::{Cause, Refusal};
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -108,6 +108,7 @@
         self.targets.tick_evacuations(ctx, &self.peers, out);
         let confirmed_at = self.sync.freshness().confirmed_at();
         self.targets.tick_cold(ctx, &self.peers, confirmed_at, out);
+        self.targets.tick_speeds(ctx, &self.peers, out);
         self.poison.tick(ctx, &self.peers, out);
         self.cache.tick(ctx.at);
         self.write_holdings(ctx, out);
@@ -239,6 +240,11 @@
                     self.targets.receive_evacuations(ctx, &report, out);
                 }
             }
+            Datagram::SpeedReport(report) => {
+                if self.peers.address(&report.from).is_some() {
+                    self.targets.receive_speeds(ctx, &report);
+                }
+            }
             Datagram::SyncRequest(request) => {
                 if let Some(address) = self.peers.address(&request.from) {
                     self.sync.handle_request(ctx, &request, address, out);
--- a/crates/gateway/tests/all/main.rs
+++ b/crates/gateway/tests/all/main.rs
@@ -17,6 +17,7 @@
 mod reader;
 mod relay;
 mod retry;
+mod room;
 mod start;
 mod target;
 mod world;
--- a/crates/gateway/tests/all/world.rs
+++ b/crates/gateway/tests/all/world.rs
@@ -7,6 +7,7 @@
 use briarshift_gateway::request::{Arrival, Cause, Decision, End, Event as Request, Send};
 use briarshift_gateway::{Bounds, Effect, Event, Features, Identity, Kind, State};
 use briarshift_routing::retry_window::Budget;
+use briarshift_routing::room::Length;
 use briarshift_routing::selection::{Bound, Part};
 use briarshift_store::registry::{Call, Member, Name, Reply, Row, Secret, Status, Target, Value};
 use briarshift_store::{Error, Version};
@@ -48,6 +49,19 @@
     }
 }
 
+fn identity(vm: &str) -> Identity {
+    Identity {
+        vm: vm.parse().unwrap(),
+        start: StartNumber(1),
+        data_centre: "a".parse().unwrap(),
+        address: "10.0.0.1:1".parse().unwrap(),
+        link: MegabitsPerSecond(100),
+        secret: Secret([1; 32]),
+        bounds: bounds(),
+        features: Features::default(),
+    }
+}
+
 impl World {
     /// Creates a VM that has read a configuration and these targets of the pool
     /// `desk`.
@@ -58,20 +72,17 @@
         world
     }
 
+    /// Creates a VM that has read nothing, with what the deployment calls for.
+    pub fn with_features(features: Features) -> Self {
+        let mut world = Self::empty("vm-1");
+        world.state = State::new(Identity { features, ..identity("vm-1") });
+        world
+    }
+
     /// Creates a VM that has read nothing.
     pub fn empty(vm: &str) -> Self {
-        let me = Identity {
-            vm: vm.parse().unwrap(),
-            start: StartNumber(1),
-            data_centre: "a".parse().unwrap(),
-            address: "10.0.0.1:1".parse().unwrap(),
-            link: MegabitsPerSecond(100),
-            secret: Secret([1; 32]),
-            bounds: bounds(),
-            features: Features::default(),
-        };
         Self {
-            state: State::new(me),
+            state: State::new(identity(vm)),
             now: Moment(1_000_000),
             log: Vec::new(),
             decisions: Vec::new(),
@@ -195,6 +206,7 @@
             key: Some(KEY.into()),
             deadline: None,
             parts: Vec::new(),
+            length: Length::default(),
             fingerprint: Fingerprint(self.requests),
         };
         change(&mut arrival);
--- a/crates/model/src/engine.rs
+++ b/crates/model/src/engine.rs
@@ -6,7 +6,7 @@
 //! which prolongs the step for all requests. A fixed number of tokens makes one
 //! event of the answer.
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::{BTreeMap, HashMap, VecDeque};
 
 use briarshift_routing::cache::Prefix;
 use briarshift_units::{Moment, Span};
@@ -35,6 +35,15 @@
     pub tokens_per_event: u32,
 }
 
+impl Spec {
+    /// Returns the same engine with work that takes `factor` times as long.
+    #[must_use]
+    pub fn slowed(self, factor: f64) -> Self {
+        let step = Span((self.step.0 as f64 * factor) as u64);
+        Self { step, read_rate: self.read_rate / factor, ..self }
+    }
+}
+
 /// One request on an engine.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Task {
@@ -104,6 +113,24 @@
         (self.running.len() as u32, self.waiting.len() as u32)
     }
 
+    /// Returns true if the requests on it, running and waiting, need more memory than it has:
+    /// their shared parts once, their own parts and their whole answers.
+    pub fn is_overfull(&self) -> bool {
+        let running = self.running.iter().map(|running| &running.task);
+        let mut shared = BTreeMap::new();
+        let mut own = 0;
+        for task in running.chain(&self.waiting) {
+            let (last, parts) = task
+                .parts
+                .split_last()
+                .map_or((0, &[][..]), |(last, parts)| (u64::from(last.1), parts));
+            own += last + u64::from(task.events * self.spec.tokens_per_event);
+            shared.extend(parts.iter().copied());
+        }
+        let shared: u64 = shared.values().map(|tokens| u64::from(*tokens)).sum();
+        self.spec.memory_tokens < shared + own
+    }
+
     /// Queues a request, ahead of those with a lower priority.
     pub fn accept(&mut self, task: Task) {
         let index = self.waiting.iter().position(|waiting| task.priority < waiting.priority);
--- a/crates/wire/src/datagram.rs
+++ b/crates/wire/src/datagram.rs
@@ -8,6 +8,7 @@
 use crate::leaving;
 use crate::limit;
 use crate::load::Report;
+use crate::speed;
 use crate::sync::{Request, Response};
 use crate::{Error, versioned};
 
@@ -35,6 +36,8 @@
     /// Data centres that operators evacuate or take back, sent to all peers as they are
     /// learned.
     EvacuationReport(evacuation::Report),
+    /// Targets whose machines are slow now, sent to all peers as they are learned.
+    SpeedReport(speed::Report),
 }
 
 impl Datagram {
