Send late requests a second time, within the operators' limit

Cause: a few targets or connections are slow for a moment, and their answers make up the slowest hundredth that callers see. The operators accept some extra work for requests that may be repeated.

The reducer keeps late requests in an index by due time and a second send beside the first; the worker keeps the first whole answer or the stream that begins first and drops the other attempt, which closes its connection. A cancelled send is no sign of ill health. Off unless the settings give a share.

--- a/crates/daemon/src/gateway/control.rs
+++ b/crates/daemon/src/gateway/control.rs
@@ -132,10 +132,13 @@
     }
 
     /// Sends a decision to the request's worker. If the worker is gone before the last
-    /// decision, reports to the reducer that the caller left.
+    /// decision, reports to the reducer that the caller left. A worker that is gone when it
+    /// should send a request a second time has reported that itself, or that the request
+    /// was answered.
     fn send_decision(&mut self, request: RequestId, decision: Decision, ctx: &mut Context<Self>) {
         let last = !matches!(decision, Decision::Send(_));
-        if !self.pending.send(request, decision, last) && !last {
+        let is_hedge = matches!(&decision, Decision::Send(send) if send.is_hedge);
+        if !self.pending.send(request, decision, last) && !last && !is_hedge {
             ctx.notify(Input(Kind::Request(request::Event::CallerLeft(request))));
         }
     }
--- a/crates/daemon/src/gateway/daemon.rs
+++ b/crates/daemon/src/gateway/daemon.rs
@@ -14,6 +14,7 @@
 use briarshift_forward::{Client, HeaderCodec};
 use briarshift_gateway::{Bounds, Features, Identity, Kind};
 use briarshift_routing::freshness;
+use briarshift_routing::hedge;
 use briarshift_routing::retry_window::Budget;
 use briarshift_routing::selection::Bound;
 use briarshift_settings::Gateway as Settings;
@@ -249,6 +250,11 @@
             backlog: MAX_BACKLOG_TOKENS,
         },
         grace: span(bounds.grace_s),
+        hedge: settings.hedge.map_or(hedge::Policy::OFF, |hedge| hedge::Policy {
+            share: hedge.share,
+            quantile: hedge.quantile,
+            window: span(hedge.window_s),
+        }),
     }
 }
 
--- a/crates/daemon/src/gateway/metric.rs
+++ b/crates/daemon/src/gateway/metric.rs
@@ -20,6 +20,10 @@
     refusals: Counter<u64>,
     sends: Counter<u64>,
     store_calls: Counter<u64>,
+    hedges: Counter<u64>,
+    hedges_denied: Counter<u64>,
+    cancelled_time: Counter<f64>,
+    cancelled_tokens: Counter<u64>,
     send_duration: Histogram<f64>,
     catalog_revision: Gauge<u64>,
     catalog_age: Gauge<u64>,
@@ -40,6 +44,16 @@
             refusals: counter("briarshift_refusals", "Refused requests by cause and outcome"),
             sends: counter("briarshift_sends", "Sends to targets by how they ended"),
             store_calls: counter("briarshift_store_calls", "Calls to the store by call and role"),
+            hedges: counter("briarshift_hedges", "Second sends of late requests by outcome"),
+            hedges_denied: counter("briarshift_hedges_denied", "Late requests without, by reason"),
+            cancelled_time: meter
+                .f64_counter("briarshift_cancelled_seconds")
+                .with_description("Time that targets worked on cancelled sends")
+                .build(),
+            cancelled_tokens: counter(
+                "briarshift_cancelled_tokens",
+                "Prompt tokens that targets were to read for cancelled sends",
+            ),
             send_duration: meter
                 .f64_histogram("briarshift_send_seconds")
                 .with_description("Time from a send to its end")
@@ -66,12 +80,27 @@
                 let took = record.get("took").and_then(|took| took.strip_suffix("us"));
                 if let Some(micros) = took.and_then(|took| took.parse::<f64>().ok()) {
                     self.send_duration.record(micros / 1e6, &[pair("end")]);
+                    if record.get("end") == Some("cancelled") {
+                        self.count_cancelled(record, micros / 1e6);
+                    }
                 }
             }
+            "hedged" => self.hedges.add(1, &[KeyValue::new("outcome", "sent")]),
+            "hedge_won" => self.hedges.add(1, &[KeyValue::new("outcome", "won")]),
+            "hedge_denied" => self.hedges_denied.add(number(record, "requests"), &[pair("reason")]),
             _ => {}
         }
     }
 
+    /// Counts a cancelled send, and the work that it cost in vain.
+    fn count_cancelled(&self, record: &Record, seconds: f64) {
+        let is_hedge = record.get("hedge").is_some();
+        let send = if is_hedge { "cancelled" } else { "first_cancelled" };
+        self.hedges.add(1, &[KeyValue::new("outcome", send)]);
+        self.cancelled_time.add(seconds, &[]);
+        self.cancelled_tokens.add(number(record, "unread"), &[]);
+    }
+
     /// Sets the gauges.
     pub(crate) fn set_gauges(&self, status: &Status) {
         self.catalog_revision.record(status.revision.0, &[]);
@@ -86,3 +115,8 @@
         self.exporter.encode()
     }
 }
+
+/// Returns a numeric field of a log line, 0 if it has none.
+fn number(record: &Record, key: &str) -> u64 {
+    record.get(key).and_then(|value| value.parse().ok()).unwrap_or(0)
+}
--- a/crates/daemon/src/gateway/relay.rs
+++ b/crates/daemon/src/gateway/relay.rs
@@ -141,6 +141,9 @@
     async fn resume(&mut self) -> io::Result<Option<Bytes>> {
         loop {
             let send = match self.decisions.recv().await {
+                // A second send that was decided on before the control thread learned that
+                // the stream had begun. It counts as cancelled there.
+                Some(Decision::Send(send)) if send.is_hedge => continue,
                 Some(Decision::Send(send)) => send,
                 decision => {
                     self.guard.disarm();
--- a/crates/daemon/src/gateway/task.rs
+++ b/crates/daemon/src/gateway/task.rs
@@ -18,6 +18,8 @@
 use briarshift_gateway::request::{Arrival, Decision, End, Event, Refusal, Send, SendId};
 use briarshift_gateway::target::{Load, Report};
 use briarshift_units::{Moment, RequestId, Span};
+use futures::StreamExt;
+use futures::stream::FuturesUnordered;
 use http::{HeaderMap, Method, StatusCode};
 use smol_str::SmolStr;
 use tokio::sync::mpsc;
@@ -127,7 +129,10 @@
         self.control.do_send(Input(Kind::Request(event)));
     }
 
-    /// Handles a request and returns its response.
+    /// Handles a request and returns its response. While an attempt runs, the control
+    /// thread may start a second one. The first answer counts: the attempt that still
+    /// runs is dropped in the same step, which closes its connection, so that neither
+    /// two answers nor none can reach the caller.
     pub(super) async fn run(this: &Rc<Self>, job: Job) -> HttpResponse {
         let (sender, mut decisions) = mpsc::unbounded_channel();
         let request = job.arrival.request;
@@ -135,20 +140,23 @@
         this.control.do_send(Arrived { arrival: job.arrival.clone(), decisions: sender });
         let job = Rc::new(job);
         let mut failed_answer = None;
-        while let Some(decision) = decisions.recv().await {
-            let Decision::Send(send) = decision else {
-                return this.conclude(Some(decision), failed_answer, &guard);
-            };
-            let answered = tokio::select! {
+        let mut attempts = FuturesUnordered::new();
+        loop {
+            let (send, answered) = tokio::select! {
                 biased;
-                answered = Self::attempt_to_end(this, &job, &send, &guard) => answered,
-                // The process ends before the attempt does.
-                decision = decisions.recv() => {
-                    return this.conclude(decision, failed_answer, &guard);
-                }
+                Some(ended) = attempts.next() => ended,
+                decision = decisions.recv() => match decision {
+                    Some(Decision::Send(send)) => {
+                        attempts.push(Self::attempt_to_end(this, &job, send, &guard));
+                        continue;
+                    }
+                    // The last decision, also if the process ends before the attempts do.
+                    decision => return this.conclude(decision, failed_answer, &guard),
+                },
             };
             match answered {
                 Ok(TargetAnswer::Stream { head, first, body, splitter, report }) => {
+                    drop(attempts);
                     this.notify(Event::AnswerBegan { id: send.id, report });
                     let close = this.shared.is_draining();
                     let stream = (send, body, splitter);
@@ -156,6 +164,7 @@
                     return response::from_target(&head, close).streaming(relay.stream(first));
                 }
                 Ok(TargetAnswer::Complete { head, body, report }) if head.status < 500 => {
+                    drop(attempts);
                     guard.disarm();
                     this.report_end(send.id, End::Complete { ok: true }, report);
                     return response::from_target(&head, this.shared.is_draining()).body(body);
@@ -167,7 +176,6 @@
                 Err(FailedAttempt { end, report }) => this.report_end(send.id, end, report),
             }
         }
-        this.conclude(None, failed_answer, &guard)
     }
 
     /// Returns the response for the last decision on a request, `None` if the control
@@ -202,22 +210,24 @@
         response::refusal(refusal, self.shared.is_draining())
     }
 
-    /// Makes one attempt. If the request may not be repeated, the attempt runs in a
+    /// Makes one attempt and returns it with its result. If the request may not be repeated, the attempt runs in a
     /// separate task, which continues after the caller left; otherwise the attempt is
     /// cancelled when the caller leaves.
     async fn attempt_to_end(
         this: &Rc<Self>,
         job: &Rc<Job>,
-        send: &Send,
+        send: Send,
         guard: &CallerGuard,
-    ) -> Result<TargetAnswer, FailedAttempt> {
+    ) -> (Send, Result<TargetAnswer, FailedAttempt>) {
         if send.kind != RouteKind::Unsafe {
-            return this.attempt(job, send, job.resume_after.clone()).await;
+            let answered = this.attempt(job, &send, job.resume_after.clone()).await;
+            return (send, answered);
         }
         guard.disarm();
-        let (worker, job, send) = (Rc::clone(this), Rc::clone(job), send.clone());
+        let (worker, job, own_send) = (Rc::clone(this), Rc::clone(job), send.clone());
         let (sender, receiver) = tokio::sync::oneshot::channel();
         actix_rt::spawn(async move {
+            let send = own_send;
             let result = worker.attempt(&job, &send, None).await;
             if let Err(result) = sender.send(result) {
                 let (end, report) = match result {
@@ -233,13 +243,9 @@
         });
         let result = receiver.await;
         guard.armed.set(true);
-        result.unwrap_or_else(|_| {
-            Err(End::Interrupted {
-                reason: "the task of the attempt was dropped".into(),
-                relayed: false,
-            }
-            .into())
-        })
+        let answered = result
+            .unwrap_or_else(|_| Err(interrupted("the task of the attempt was dropped").into()));
+        (send, answered)
     }
 
     /// Sends a request to a target and reads its answer: completely, or up to the
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use briarshift_logging::Record;
+use briarshift_routing::hedge;
 use briarshift_routing::retry_window::Budget;
 use briarshift_routing::selection;
 use briarshift_store::registry::{Call, Member, Secret};
@@ -23,6 +24,8 @@
     pub engine_load: selection::Bound,
     /// Maximum duration of a graceful shutdown.
     pub grace: Span,
+    /// Limit on second sends of late requests, which all VMs share.
+    pub hedge: hedge::Policy,
 }
 
 /// What a deployment calls for beyond routing. Everything is off by default.
--- a/crates/gateway/src/limit.rs
+++ b/crates/gateway/src/limit.rs
@@ -191,6 +191,19 @@
 /// its attempts. A quarter of a pool may be down at once, and finding one such
 /// target takes milliseconds.
 pub const MAX_UNREACHED: u32 = 10;
+/// Interval at which a late request that could not be hedged is considered again: loads
+/// of targets change within a heartbeat.
+pub const HEDGE_RETRY_INTERVAL: Span = Span::from_millis(100);
+/// Maximum number of late requests that are considered for a hedge in one tick, which
+/// bounds its duration.
+pub const MAX_HEDGE_CHECKS: usize = 64;
+/// Maximum number of requests that wait to be considered for a hedge.
+pub const MAX_HEDGE_CANDIDATES: usize = 4_096;
+/// Maximum number of shared prompt tokens that a target may have to read again for a
+/// hedge. A few tokens cost less than the wait; whole parts cost other prompts more.
+pub const MAX_HEDGE_REREAD_TOKENS: u64 = MIN_FETCH_TOKENS;
+/// Interval of the log lines that tell why requests were not hedged.
+pub const HEDGE_LOG_INTERVAL: Span = Span::from_secs(1);
 /// Minimum time before the deadline at which another attempt is worthwhile.
 pub const MIN_ATTEMPT_TIME: Span = Span::from_millis(40);
 /// How long an idempotent request waits for the beginning of its answer before
--- a/crates/gateway/src/poison.rs
+++ b/crates/gateway/src/poison.rs
@@ -69,6 +69,13 @@
             || self.ledger.blocked(&suspect_parts(arrival), now).is_some()
     }
 
+    /// Returns true if a target crashed that ran a request, or a prompt with one of its
+    /// parts.
+    pub fn is_suspect(&self, arrival: &Arrival) -> bool {
+        self.crashes.contains_key(&arrival.fingerprint)
+            || suspect_parts(arrival).into_iter().any(|part| 0 < self.ledger.crashes(part))
+    }
+
     /// Records a target crash that this VM noticed, and reports it to the
     /// peers.
     pub fn record_crash(&mut self, ctx: &Context<'_>, crash: CrashedRequest, out: &mut Output) {
--- a/crates/gateway/src/request/admit.rs
+++ b/crates/gateway/src/request/admit.rs
@@ -50,6 +50,8 @@
         holds_failure: false,
         may_have_run: false,
         active_send: None,
+        hedge: None,
+        hedge_denial: None,
     })
 }
 
--- a/crates/gateway/src/request/choice.rs
+++ b/crates/gateway/src/request/choice.rs
@@ -60,21 +60,36 @@
     if candidates.is_empty() {
         candidates = view.targets.candidates(&query, &pending.pool, &[]);
     }
+    choose_among(step, pending, &candidates)
+}
+
+/// Chooses one of these targets for a request.
+///
+/// # Errors
+///
+/// Returns why there is none.
+pub(super) fn choose_among(
+    step: &Step<'_, '_>,
+    pending: &Pending,
+    candidates: &[Candidate<'_>],
+) -> Result<Choice, Denied> {
+    let Step { ctx, view, .. } = step;
+    let query = view.query(ctx, pending);
     let cached_by = |candidate: &Candidate<'_>| {
         view.cache.cached_tokens(TargetHash::of(candidate.name), pending.shared_parts(), ctx.at)
     };
     let limited_until = view.targets.limited_until(&query, &pending.pool);
     let denied = limited_until.map_or(Denied::NoTarget, Denied::Limited);
     let index = if pending.parts.is_empty() {
-        select_runner(step, &candidates)
+        select_runner(step, candidates)
     } else {
         let prompt = pending.prompt(view.cache.popularity(pending.shared_parts(), ctx.at));
         let bound = &ctx.me.bounds.engine_load;
         // What engines at their limits do not get must not drown the others.
-        if limited_until.is_some() && !selection::has_room(&candidates, &prompt, bound, cached_by) {
+        if limited_until.is_some() && !selection::has_room(candidates, &prompt, bound, cached_by) {
             return Err(denied);
         }
-        selection::select_engine(&candidates, &prompt, bound, cached_by, ctx.entropy)
+        selection::select_engine(candidates, &prompt, bound, cached_by, ctx.entropy)
     };
     let candidate = &candidates[index.ok_or(denied)?];
     let Candidate { name, load, backlog, .. } = *candidate;
@@ -142,7 +157,7 @@
 /// Returns when to give up waiting for the beginning of an answer, if the
 /// request may be sent to another target.
 pub(super) fn answer_deadline(ctx: &Context<'_>, pending: &Pending) -> Option<Moment> {
-    let may_retry =
-        pending.route.kind.is_idempotent() && pending.attempts + 1 < pending.route.attempts;
+    let attempts = pending.attempts + pending.active_sends().count() as u32;
+    let may_retry = pending.route.kind.is_idempotent() && attempts + 1 < pending.route.attempts;
     may_retry.then(|| ctx.at + Span(pending.route.latency_goal.0 * ANSWER_TIMEOUT_FACTOR))
 }
--- a/crates/gateway/src/request/event.rs
+++ b/crates/gateway/src/request/event.rs
@@ -77,6 +77,9 @@
     pub fetch_from: Option<SocketAddr>,
     /// Maximum number of connections from this VM to the target.
     pub max_connections: u32,
+    /// It runs beside another send of the request. The first whole answer, or the first
+    /// event of a stream, counts, and the worker drops the other send.
+    pub is_hedge: bool,
 }
 
 /// Tells a worker what to do with its request.
--- a/crates/gateway/src/request/mod.rs
+++ b/crates/gateway/src/request/mod.rs
@@ -10,6 +10,7 @@
 mod admit;
 mod choice;
 mod event;
+mod hedge;
 mod pending;
 mod record;
 mod refusal;
--- a/crates/gateway/src/request/pending.rs
+++ b/crates/gateway/src/request/pending.rs
@@ -4,6 +4,7 @@
 
 use briarshift_catalog::{Account, Route};
 use briarshift_routing::cache::Prefix;
+use briarshift_routing::hedge::Denial;
 use briarshift_routing::selection::Prompt;
 use briarshift_units::{ChatKey, Moment, PoolId, TargetId};
 
@@ -21,6 +22,7 @@
     pub backlog: u64,
     pub at: Moment,
     pub answer_began: bool,
+    pub is_hedge: bool,
 }
 
 /// A request in progress.
@@ -46,9 +48,34 @@
     /// A target may have run the request without answering in full.
     pub may_have_run: bool,
     pub active_send: Option<ActiveSend>,
+    /// The second send, which runs beside the active one.
+    pub hedge: Option<ActiveSend>,
+    /// Why it was last not hedged.
+    pub hedge_denial: Option<Denial>,
 }
 
 impl Pending {
+    /// Returns the send with this id, if it has not ended.
+    pub fn send_mut(&mut self, id: SendId) -> Option<&mut ActiveSend> {
+        self.active_send.iter_mut().chain(&mut self.hedge).find(|send| send.id == id)
+    }
+
+    /// Removes the send with this id, if it has not ended. The other one, if there is one,
+    /// is the active send from then on.
+    pub fn take_send(&mut self, id: SendId) -> Option<ActiveSend> {
+        if self.hedge.as_ref().is_some_and(|hedge| hedge.id == id) {
+            return self.hedge.take();
+        }
+        let ended = self.active_send.take_if(|active| active.id == id)?;
+        self.active_send = self.hedge.take();
+        Some(ended)
+    }
+
+    /// Returns the sends that have not ended.
+    pub fn active_sends(&self) -> impl Iterator<Item = &ActiveSend> {
+        self.active_send.iter().chain(&self.hedge)
+    }
+
     /// Records how a send ended.
     pub fn record_end(&mut self, active: &ActiveSend, end: &End) {
         if !matches!(end, End::NotSent { .. } | End::ConfigExpired) {
--- a/crates/gateway/src/request/record.rs
+++ b/crates/gateway/src/request/record.rs
@@ -1,6 +1,8 @@
 //! Log records of requests.
 
 use briarshift_logging::Record;
+use briarshift_routing::hedge::Denial;
+use briarshift_units::Span;
 
 use super::choice::Choice;
 use super::pending::{ActiveSend, Pending};
@@ -78,7 +80,7 @@
         .with("unread", choice.unread_tokens)
         .with("prompt", pending.prompt_key())
         .with("left", send.deadline.since(step.ctx.at));
-    with_configuration(step, line)
+    with_configuration(step, with_hedge(line, send.is_hedge))
 }
 
 /// Returns the record of a send that has ended.
@@ -93,6 +95,7 @@
         .with("send", active.id.number)
         .with("target", &active.target)
         .with("took", ctx.at.since(active.at));
+    let line = with_hedge(line, active.is_hedge);
     match end {
         End::Complete { ok } => line.with("end", if *ok { "whole" } else { "whole_failure" }),
         End::Failed { status } => line.with("end", "failed").with("status", status),
@@ -110,6 +113,63 @@
     }
 }
 
+/// Marks the record of a second send.
+fn with_hedge(line: Record, is_hedge: bool) -> Record {
+    if is_hedge { line.with("hedge", true) } else { line }
+}
+
+/// Returns the record of a second send.
+pub(super) fn hedged(
+    ctx: &Context<'_>,
+    pending: &Pending,
+    first: &ActiveSend,
+    hedge: &ActiveSend,
+    late_after: Span,
+) -> Record {
+    Record::new("hedged")
+        .with("request", &pending.arrival.attempt)
+        .with("send", hedge.id.number)
+        .with("target", &hedge.target)
+        .with("first", first.id.number)
+        .with("first_target", &first.target)
+        .with("after", ctx.at.since(first.at))
+        .with("late_after", late_after)
+}
+
+/// Returns the record of an answer that came from a second send.
+pub(super) fn hedge_won(ctx: &Context<'_>, pending: &Pending, hedge: &ActiveSend) -> Record {
+    Record::new("hedge_won")
+        .with("request", &pending.arrival.attempt)
+        .with("send", hedge.id.number)
+        .with("target", &hedge.target)
+        .with("took", ctx.at.since(hedge.at))
+}
+
+/// Returns the record of a send that was cancelled because the other send of its request
+/// was answered, with the time that its target worked in vain and the prompt tokens that
+/// it was to read.
+pub(super) fn cancelled(
+    ctx: &Context<'_>,
+    pending: &Pending,
+    cancelled: &ActiveSend,
+    winner: &ActiveSend,
+) -> Record {
+    let line = Record::new("ended")
+        .with("request", &pending.arrival.attempt)
+        .with("send", cancelled.id.number)
+        .with("target", &cancelled.target)
+        .with("took", ctx.at.since(cancelled.at));
+    with_hedge(line, cancelled.is_hedge)
+        .with("end", "cancelled")
+        .with("unread", cancelled.backlog)
+        .with("answered", winner.id.number)
+}
+
+/// Returns the record of requests that were not hedged for the same reason.
+pub(super) fn hedge_denied(denial: Denial, count: u64) -> Record {
+    Record::new("hedge_denied").with("reason", denial).with("requests", count)
+}
+
 /// Returns the ids of the first parts of a prompt, which tell what interrupted requests
 /// have in common.
 fn part_ids(arrival: &Arrival) -> String {
--- a/crates/gateway/src/request/state.rs
+++ b/crates/gateway/src/request/state.rs
@@ -7,6 +7,7 @@
 
 use super::admit::admit;
 use super::choice::{Choice, Denied, answer_deadline, choose};
+use super::hedge;
 use super::pending::{ActiveSend, Pending};
 use super::view::{Step, View};
 use super::{Arrival, Cause, Decision, End, Event, Refusal, Send, SendId, record};
@@ -20,9 +21,10 @@
 /// All requests in progress.
 #[derive(Debug, Default)]
 pub struct State {
-    pending: HashMap<RequestId, Pending>,
+    pub(super) pending: HashMap<RequestId, Pending>,
     /// Recent requests and retries of each pool, which limit further retries.
-    windows: BTreeMap<PoolId, Window>,
+    pub(super) windows: BTreeMap<PoolId, Window>,
+    pub(super) hedging: hedge::State,
 }
 
 /// What to do after a send has ended.
@@ -84,6 +86,7 @@
         };
         let window = self.windows.entry(pending.pool.clone()).or_default();
         window.record_request(&step.ctx.me.bounds.retry_budget, step.ctx.at);
+        self.hedging.record_request(step.ctx);
         self.pending.insert(arrival.request, pending);
         self.dispatch(step, arrival.request);
     }
@@ -110,17 +113,20 @@
         step.out.log(record::dispatched(step, pending, &choice, &send));
         record_send(step, pending, &choice);
         let (target, backlog) = (choice.target, choice.unread_tokens);
-        pending.active_send =
-            Some(ActiveSend { id, target, backlog, at: step.ctx.at, answer_began: false });
+        let (at, answer_began, is_hedge) = (step.ctx.at, false, false);
+        let active = ActiveSend { id, target, backlog, at, answer_began, is_hedge };
+        pending.active_send = Some(active);
+        self.hedging.schedule(step.ctx, pending);
         step.out.push(Effect::Decide { request, decision: Decision::Send(send) });
     }
 
     fn handle_answer_began(&mut self, step: &mut Step<'_, '_>, id: SendId, report: Option<Report>) {
         let Some(pending) = self.pending.get_mut(&id.request) else { return };
-        let Some(active) = pending.active_send.as_mut().filter(|it| it.id == id) else { return };
+        let Some(active) = pending.send_mut(id) else { return };
         active.answer_began = true;
-        step.view.poison.record_answer(&pending.arrival, step.out);
         let backlog = std::mem::take(&mut active.backlog);
+        let active = active.clone();
+        step.view.poison.record_answer(&pending.arrival, step.out);
         let (targets, at) = (&mut *step.view.targets, step.ctx.at);
         targets.remove_backlog(&active.target, backlog);
         targets.record_answer(&active.target, true, at);
@@ -128,6 +134,8 @@
             let vms = step.view.peers.fleet_size();
             targets.set_report(step.ctx, &active.target, report, true, vms, step.out);
         }
+        self.hedging.record_answer(step.ctx, pending, &active);
+        self.hedging.settle(step, pending, &active);
     }
 
     fn handle_send_ended(
@@ -137,12 +145,9 @@
         end: &End,
         report: Option<Report>,
     ) {
-        if self.active_send(id).is_none() {
-            return;
-        }
         let request = id.request;
         let Some(pending) = self.pending.get_mut(&request) else { return };
-        let Some(active) = pending.active_send.take() else { return };
+        let Some(active) = pending.take_send(id) else { return };
         step.view.targets.remove_request(&active.target, active.backlog);
         if let Some(report) = report {
             let ok = matches!(end, End::Complete { ok: true });
@@ -152,6 +157,14 @@
         record_end(step, pending, &active, end, report);
         pending.record_end(&active, end);
         step.out.log(record::ended(step.ctx, pending, &active, end));
+        self.hedging.record_end(step.ctx, pending, &active, end);
+        if matches!(end, End::Complete { .. }) && !active.answer_began {
+            self.hedging.settle(step, pending, &active);
+        }
+        // The other send may still be answered.
+        if pending.active_send.is_some() {
+            return;
+        }
         match self.next_action(step, request, end) {
             Action::Finish => {
                 self.pending.remove(&request);
@@ -200,8 +213,9 @@
     fn handle_caller_left(&mut self, step: &mut Step<'_, '_>, request: RequestId) {
         let Some(pending) = self.pending.remove(&request) else { return };
         step.out.log(record::caller_left(step.ctx, &pending));
-        if let Some(active) = pending.active_send {
+        for active in pending.active_sends() {
             step.view.targets.remove_request(&active.target, active.backlog);
+            self.hedging.record_unanswered(step.ctx, &pending, active);
         }
     }
 
@@ -238,15 +252,15 @@
         };
         refuse(step, &pending.arrival, cause, wait);
     }
-
-    fn active_send(&mut self, id: SendId) -> Option<&mut ActiveSend> {
-        let active = self.pending.get_mut(&id.request)?.active_send.as_mut()?;
-        (active.id == id).then_some(active)
-    }
 }
 
 /// Builds the send for a worker. Returns `None` if the target is not known.
-fn send(step: &Step<'_, '_>, pending: &Pending, choice: &Choice, id: SendId) -> Option<Send> {
+pub(super) fn send(
+    step: &Step<'_, '_>,
+    pending: &Pending,
+    choice: &Choice,
+    id: SendId,
+) -> Option<Send> {
     let Step { ctx, view, .. } = step;
     let pool = view.catalog.and_then(|catalog| catalog.pool(&pending.pool));
     let connections = pool.map_or(u32::MAX, |pool| pool.max_connections);
@@ -264,11 +278,12 @@
         priority: pending.priority(),
         fetch_from: choice.fetch_from.as_ref().map(|holder| holder.address),
         max_connections: (connections / view.peers.fleet_size() as u32).max(1),
+        is_hedge: pending.active_send.is_some(),
     })
 }
 
 /// Adds a request to the load and the cache of its target.
-fn record_send(step: &mut Step<'_, '_>, pending: &Pending, choice: &Choice) {
+pub(super) fn record_send(step: &mut Step<'_, '_>, pending: &Pending, choice: &Choice) {
     let view = &mut *step.view;
     let vms = view.peers.fleet_size();
     view.targets.record_send(&choice.target, choice.unread_tokens, vms, step.ctx.at);
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -97,6 +97,7 @@
         self.targets.tick_leaving(ctx, &self.peers, out);
         self.poison.tick(ctx, &self.peers, out);
         self.cache.tick(ctx.at);
+        self.hedge_requests(ctx, out);
         self.write_holdings(ctx, out);
         if self.peers.is_report_due(ctx.at) {
             let (loads, placements) = (self.targets.loads(), self.cache.take_unreported());
@@ -166,17 +167,29 @@
     }
 
     fn handle_request(&mut self, ctx: &Context<'_>, event: request::Event, out: &mut Output) {
-        let leaving = self.drain.leaving(ctx.me.bounds.grace, ctx.at);
-        let mut view = request::View {
+        let (requests, mut view) = self.view(ctx);
+        requests.apply(ctx, &mut view, event, out);
+    }
+
+    /// Sends late requests a second time.
+    fn hedge_requests(&mut self, ctx: &Context<'_>, out: &mut Output) {
+        let is_draining = !self.drain.is_running();
+        let (requests, mut view) = self.view(ctx);
+        requests.tick_hedges(ctx, &mut view, is_draining, out);
+    }
+
+    /// Returns the requests, and what they see of the other components.
+    fn view(&mut self, ctx: &Context<'_>) -> (&mut request::State, request::View<'_>) {
+        let view = request::View {
             catalog: self.sync.catalog(),
             freshness: self.sync.freshness(),
             targets: &mut self.targets,
             peers: &self.peers,
             cache: &mut self.cache,
             poison: &mut self.poison,
-            leaving,
+            leaving: self.drain.leaving(ctx.me.bounds.grace, ctx.at),
         };
-        self.requests.apply(ctx, &mut view, event, out);
+        (&mut self.requests, view)
     }
 
     fn handle_store_reply(
--- a/crates/gateway/tests/all/main.rs
+++ b/crates/gateway/tests/all/main.rs
@@ -4,6 +4,7 @@
 mod delegate;
 mod drain;
 mod fleet;
+mod hedge;
 mod leaving;
 mod limit;
 mod load;
--- a/crates/gateway/tests/all/world.rs
+++ b/crates/gateway/tests/all/world.rs
@@ -6,6 +6,7 @@
 use briarshift_catalog::{Account, Catalog, Engine, Kind as RouteKind, Pool, Route};
 use briarshift_gateway::request::{Arrival, Cause, Decision, End, Event as Request, Send};
 use briarshift_gateway::{Bounds, Effect, Event, Features, Identity, Kind, State};
+use briarshift_routing::hedge;
 use briarshift_routing::retry_window::Budget;
 use briarshift_routing::selection::{Bound, Part};
 use briarshift_store::registry::{Call, Member, Name, Reply, Row, Secret, Status, Target, Value};
@@ -43,6 +44,7 @@
         retry_budget: Budget { ratio: 0.2, allowance: 50.0, length: Span::from_secs(10) },
         engine_load: Bound { factor: 1.8, extra: 3, backlog: 14_000 },
         grace: Span::from_secs(8),
+        hedge: hedge::Policy::OFF,
     }
 }
 
--- a/crates/model/src/fleet/vm.rs
+++ b/crates/model/src/fleet/vm.rs
@@ -6,6 +6,7 @@
 use briarshift_catalog::{Catalog, Engine as EngineSpec, Pool, Route};
 use briarshift_gateway::request::Decision;
 use briarshift_gateway::{Bounds, Effect, Event, Features, Identity, Kind};
+use briarshift_routing::hedge;
 use briarshift_routing::retry_window::Budget;
 use briarshift_routing::selection::Bound;
 use briarshift_store::registry::Secret;
@@ -61,6 +62,7 @@
             retry_budget: Budget { ratio: 0.2, allowance: 36.0, length: Span::from_secs(10) },
             engine_load: Bound { factor: 1.8, extra: 3, backlog: 14_000 },
             grace: Span::from_secs(8),
+            hedge: hedge::Policy::OFF,
         },
         features: Features::default(),
     }
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod cache;
 pub mod freshness;
 pub mod health;
+pub mod hedge;
 pub mod pace;
 pub mod pause;
 pub mod popularity;
--- a/crates/routing/tests/all/main.rs
+++ b/crates/routing/tests/all/main.rs
@@ -4,6 +4,7 @@
 mod blame;
 mod bucket;
 mod cache;
+mod hedge;
 mod pace;
 mod queue;
 mod rank;
--- a/crates/settings/src/gateway.rs
+++ b/crates/settings/src/gateway.rs
@@ -58,6 +58,28 @@
     /// adapter tells which features they call for.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub terms: Vec<SmolStr>,
+    /// Second sends of late requests that may be repeated. Omit it to make none.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub hedge: Option<Hedge>,
+}
+
+/// Extra work that the operators accept to shorten the slowest answers.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct Hedge {
+    /// Second sends that all VMs together may make per request; 0 turns them off.
+    #[schemars(range(min = 0.0, max = 0.5))]
+    pub share: f64,
+    /// Part of a pool's recent answers that must be faster than a request's wait before it is sent
+    /// a second time.
+    #[serde(default = "default_quantile")]
+    #[schemars(range(min = 0.5, max = 0.999))]
+    pub quantile: f64,
+    /// Length of the window in which the share holds, in seconds. Each VM needs 1 / `share`
+    /// requests in a window to make one second send.
+    #[serde(default = "default_hedge_window_s")]
+    #[schemars(range(min = 1.0, max = 3_600.0))]
+    pub window_s: f64,
 }
 
 /// Limits that this VM observes to keep the operators' guarantees.
@@ -131,6 +153,16 @@
     2_000
 }
 
+/// Returns the quantile of answers after which a request is late, if the settings state none.
+fn default_quantile() -> f64 {
+    0.95
+}
+
+/// Returns the window for second sends that holds if the settings state none, in seconds.
+fn default_hedge_window_s() -> f64 {
+    10.0
+}
+
 fn is_zero(rate: &f64) -> bool {
     *rate == 0.0
 }
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -30,7 +30,7 @@
     PoolBuilder, Priority, Rate, Runner,
 };
 pub use fault::Faults;
-pub use gateway::{Bounds, Gateway};
+pub use gateway::{Bounds, Gateway, Hedge};
 pub use process::{Peer, Process, ProcessBuilder, Tls};
 
 /// Largest size of a file, which is the largest value that the platform's store accepts.
--- a/crates/settings/tests/all/gateway.rs
+++ b/crates/settings/tests/all/gateway.rs
@@ -62,3 +62,20 @@
     let paths = faults(|settings| settings["ready_address"] = json!("10.0.0.1:80"));
     assert_eq!(paths, ["$.ready_address"]);
 }
+
+#[test]
+fn second_sends_are_off_by_default_and_checked() {
+    let parsed = Gateway::parse(settings().to_string().as_bytes()).unwrap();
+    assert_eq!(parsed.hedge, None);
+    let mut given = settings();
+    given["hedge"] = json!({ "share": 0.02 });
+    let hedge = Gateway::parse(given.to_string().as_bytes()).unwrap().hedge.unwrap();
+    assert_eq!((hedge.share, hedge.quantile, hedge.window_s), (0.02, 0.95, 10.0));
+    let paths = faults(|settings| {
+        settings["hedge"] = json!({ "share": 2, "quantile": 0.2, "window_s": 0 });
+    });
+    assert_eq!(paths, ["$.hedge.quantile", "$.hedge.share", "$.hedge.window_s"]);
+    given["hedge"] = json!({});
+    let missing = Gateway::parse(given.to_string().as_bytes()).unwrap_err().to_string();
+    assert!(missing.contains("$.hedge: ") && missing.contains("share"), "{missing}");
+}
