Show what second sends change, and how to set their limit

Cause: operators need to know what a share of extra work buys before they set one.

A hedge goes only to targets that hold at most two requests above the pool's mean, and to engines that can read the prompt within their bound. A stream that has begun is not hedged when it is resumed.

--- a/crates/gateway/src/request/admit.rs
+++ b/crates/gateway/src/request/admit.rs
@@ -49,6 +49,7 @@
         tried: Vec::new(),
         holds_failure: false,
         may_have_run: false,
+        has_begun: false,
         active_send: None,
         hedge: None,
         hedge_denial: None,
--- a/crates/gateway/src/request/hedge.rs
+++ b/crates/gateway/src/request/hedge.rs
@@ -12,6 +12,7 @@
 use briarshift_routing::hedge::{
     Condition, Denial, Estimate, Waiting, Window, may_hedge, with_room,
 };
+use briarshift_routing::selection::{Candidate, has_room};
 use briarshift_units::{Moment, PoolId, RequestId};
 use briarshift_wire::heartbeat::TargetHash;
 
@@ -65,7 +66,8 @@
     pub fn schedule(&mut self, ctx: &Context<'_>, pending: &Pending) {
         let policy = &ctx.me.bounds.hedge;
         let Some(active) = &pending.active_send else { return };
-        if !policy.is_on() || !pending.route.kind.is_idempotent() || attempts_left(pending) == 0 {
+        let may_run_twice = pending.route.kind.is_idempotent() && !pending.has_begun;
+        if !policy.is_on() || !may_run_twice || attempts_left(pending) == 0 {
             return;
         }
         let estimate = self.estimates.get(&Class::of(pending));
@@ -269,7 +271,7 @@
     let is_suspect = pending.may_have_run || step.view.poison.is_suspect(&pending.arrival);
     Waiting {
         is_idempotent: pending.route.kind.is_idempotent(),
-        has_begun: first.answer_began,
+        has_begun: pending.has_begun,
         is_suspect,
         age: step.ctx.at.since(first.at),
         time_left: pending.deadline.since(step.ctx.at),
@@ -281,7 +283,7 @@
 /// room, and that has cached what other prompts share with this one. It fetches nothing.
 fn choose_other(
     step: &Step<'_, '_>,
-    pending: &mut Pending,
+    pending: &Pending,
     first: &ActiveSend,
 ) -> Result<Choice, Denial> {
     let Step { ctx, view, .. } = step;
@@ -290,14 +292,19 @@
     let query = view.query(ctx, pending);
     let mut candidates = with_room(view.targets.candidates(&query, &pending.pool, &tried))?;
     let shared = pending.shared_tokens();
-    candidates.retain(|candidate| {
-        let hash = TargetHash::of(candidate.name);
-        let cached = view.cache.cached_tokens(hash, pending.shared_parts(), ctx.at);
-        shared.saturating_sub(cached) <= MAX_HEDGE_REREAD_TOKENS
-    });
+    let cached_by = |candidate: &Candidate<'_>| {
+        view.cache.cached_tokens(TargetHash::of(candidate.name), pending.shared_parts(), ctx.at)
+    };
+    candidates.retain(|it| shared.saturating_sub(cached_by(it)) <= MAX_HEDGE_REREAD_TOKENS);
     if candidates.is_empty() {
         return Err(Denial::Reread);
     }
+    if !pending.parts.is_empty() {
+        let prompt = pending.prompt(view.cache.popularity(pending.shared_parts(), ctx.at));
+        if !has_room(&candidates, &prompt, &ctx.me.bounds.engine_load, cached_by) {
+            return Err(Denial::NoTarget);
+        }
+    }
     let choice = choose_among(step, pending, &candidates).map_err(|_| Denial::NoTarget)?;
     let unread_tokens = pending.prompt_tokens().saturating_sub(choice.cached_tokens);
     Ok(Choice { fetch_from: None, unread_tokens, ..choice })
--- a/crates/gateway/src/request/pending.rs
+++ b/crates/gateway/src/request/pending.rs
@@ -47,6 +47,9 @@
     pub holds_failure: bool,
     /// A target may have run the request without answering in full.
     pub may_have_run: bool,
+    /// Events of an answer have reached the caller. From then on, another send can only
+    /// resume the stream.
+    pub has_begun: bool,
     pub active_send: Option<ActiveSend>,
     /// The second send, which runs beside the active one.
     pub hedge: Option<ActiveSend>,
--- a/crates/gateway/src/request/state.rs
+++ b/crates/gateway/src/request/state.rs
@@ -126,6 +126,7 @@
         active.answer_began = true;
         let backlog = std::mem::take(&mut active.backlog);
         let active = active.clone();
+        pending.has_begun = true;
         step.view.poison.record_answer(&pending.arrival, step.out);
         let (targets, at) = (&mut *step.view.targets, step.ctx.at);
         targets.remove_backlog(&active.target, backlog);
--- a/crates/gateway/tests/all/hedge.rs
+++ b/crates/gateway/tests/all/hedge.rs
@@ -1,11 +1,14 @@
 //! Second sends of late requests, and what becomes of both.
 
+use std::sync::Arc;
+
+use briarshift_catalog::{Catalog, Kind as RouteKind, Route};
 use briarshift_gateway::request::{Cause, Decision, End, Event as Request, Send};
 use briarshift_gateway::{Bounds, Kind};
 use briarshift_routing::hedge::Policy;
 use briarshift_routing::retry_window::Budget;
-use briarshift_store::registry::Name;
-use briarshift_units::Span;
+use briarshift_store::registry::{Name, Value};
+use briarshift_units::{Revision, Span};
 use proptest::prelude::{any, prop};
 use proptest::proptest;
 
@@ -188,6 +191,29 @@
     assert_eq!(expect_refusal(world.end(&hedge, end).unwrap()), Cause::Unknown);
 }
 
+/// A stream that goes on at another target has reached the caller, who must not get parts of
+/// a third one.
+#[test]
+fn a_stream_that_is_resumed_is_not_hedged() {
+    let mut world = start(&TARGETS, "/long/a", hedging());
+    let route = Route::builder("long", "shop.example", "/long/")
+        .pool("desk".parse().unwrap(), 1)
+        .kind(RouteKind::Stream { resumable: true })
+        .attempts(4)
+        .public(true)
+        .build();
+    let catalog = Catalog::builder(Revision(2)).route(route).build();
+    world.change_row(Name::Catalog, Some(Value::Catalog(Arc::new(catalog))));
+    let first = arrive(&mut world, "/long/a");
+    begin(&mut world, &first);
+    let end = End::Interrupted { reason: "reset".into(), relayed: true };
+    let resumed = expect_send(world.end(&first, end).unwrap());
+    assert_eq!(wait(&mut world, LATE), None);
+    begin(&mut world, &resumed);
+    world.end(&resumed, COMPLETE);
+    assert_eq!((load(&world), world.state.status(world.now).in_flight), (0, 0));
+}
+
 #[test]
 fn prompts_are_hedged_only_where_their_shared_parts_are_cached() {
     let mut world = start(&TARGETS, "/long/a", hedging());
--- a/crates/model/src/fleet/disturbance.rs
+++ b/crates/model/src/fleet/disturbance.rs
@@ -44,6 +44,17 @@
                 }
                 self.crashed[episode] = crashed;
             }
+            Disturbance::Slow { factor, count } => {
+                let desks = pool(false);
+                let mut of_pool: Vec<_> =
+                    (0..self.targets.len()).filter(|it| self.targets[*it].pool == desks).collect();
+                self.rng.shuffle(&mut of_pool);
+                of_pool.truncate(count);
+                for target in of_pool {
+                    self.targets[target].slowdown = factor;
+                    self.slowed[episode].push(target);
+                }
+            }
             Disturbance::Release { count } => {
                 let interval =
                     Span(self.scenario.episodes[episode].duration.0 / count.max(1) as u64);
@@ -53,11 +64,14 @@
         }
     }
 
-    /// Restarts the targets that an episode crashed.
+    /// Restarts the targets that an episode crashed, and ends the slowness of others.
     pub(super) fn end_episode(&mut self, episode: usize) {
         for target in std::mem::take(&mut self.crashed[episode]) {
             self.targets[target].is_up = true;
         }
+        for target in std::mem::take(&mut self.slowed[episode]) {
+            self.targets[target].slowdown = 1.0;
+        }
     }
 
     /// Stops a target; its jobs and its cache are lost.
--- a/crates/model/src/fleet/job.rs
+++ b/crates/model/src/fleet/job.rs
@@ -104,7 +104,8 @@
     pub(super) fn run_on_runner(&mut self, target: usize, job: u64) {
         let draw = self.rng.f64();
         let Server::Runner(runner) = &self.targets[target].server else { return };
-        self.scheduler.schedule(runner.service_time(draw), Action::FinishJob(target, job));
+        let time = runner.service_time(draw).0 as f64 * self.targets[target].slowdown;
+        self.scheduler.schedule(Span(time as u64), Action::FinishJob(target, job));
     }
 
     /// Ends a job on a desk runner, unless it was lost or cancelled, and starts the
@@ -155,7 +156,8 @@
         self.step_engine(target);
     }
 
-    /// Reports the first event of an answer to the gateway and the caller.
+    /// Reports the first event of an answer to the gateway and the caller. Another send of
+    /// the request is cancelled.
     pub(super) fn begin_answer(&mut self, number: u64) {
         let Some(job) = self.jobs.get_mut(&number) else { return };
         job.has_begun = true;
@@ -165,6 +167,18 @@
         let report = Some(self.targets[job.target].report());
         let begun = Kind::Request(Request::AnswerBegan { id, report });
         self.scheduler.schedule(NETWORK_DELAY, Action::Deliver(vm, begun));
+        let caller = self.jobs[&number].caller;
+        let others =
+            self.jobs.iter().filter(|(other, job)| **other != number && job.caller == caller);
+        let others: Vec<u64> = others.map(|(other, _)| *other).collect();
+        for other in others {
+            self.cancel_job(other);
+        }
+    }
+
+    /// Returns true if a caller's answer has begun or it no longer waits.
+    pub(super) fn has_answer(&self, caller: usize) -> bool {
+        self.callers[caller].has_ended || self.callers[caller].first_event.is_some()
     }
 
     /// Reports the end of an answer to the gateway and the caller.
--- a/crates/model/src/fleet/mod.rs
+++ b/crates/model/src/fleet/mod.rs
@@ -86,6 +86,8 @@
     last_read: HashMap<Prefix, Moment>,
     /// Targets that each episode crashed and that have not restarted yet.
     crashed: Vec<Vec<usize>>,
+    /// Targets that each episode slows.
+    slowed: Vec<Vec<usize>>,
     results: Results,
 }
 
@@ -117,6 +119,7 @@
             last_job: 0,
             last_read: HashMap::new(),
             crashed: vec![Vec::new(); scenario.episodes.len()],
+            slowed: vec![Vec::new(); scenario.episodes.len()],
             results: Results::default(),
         };
         for _ in 0..scenario.engines.0 {
@@ -126,7 +129,7 @@
             fleet.add_target(false);
         }
         for vm in 0..scenario.vms {
-            let me = vm::identity(vm, &mut fleet.rng);
+            let me = vm::identity(vm, scenario, &mut fleet.rng);
             fleet.addresses.insert(me.address, vm);
             fleet.vms.push(State::new(me));
             let delay = Span(fleet.rng.u64(..TICK_INTERVAL.0));
--- a/crates/model/src/fleet/vm.rs
+++ b/crates/model/src/fleet/vm.rs
@@ -6,7 +6,6 @@
 use briarshift_catalog::{Catalog, Engine as EngineSpec, Pool, Route};
 use briarshift_gateway::request::Decision;
 use briarshift_gateway::{Bounds, Effect, Event, Features, Identity, Kind};
-use briarshift_routing::hedge;
 use briarshift_routing::retry_window::Budget;
 use briarshift_routing::selection::Bound;
 use briarshift_store::registry::Secret;
@@ -47,7 +46,7 @@
 }
 
 /// Returns the identity of the gateway with this index.
-pub(super) fn identity(number: usize, rng: &mut Rng) -> Identity {
+pub(super) fn identity(number: usize, scenario: &Scenario, rng: &mut Rng) -> Identity {
     let [.., high, low] = number.to_be_bytes();
     Identity {
         vm: format!("vm-{number}").parse().expect("an identifier"),
@@ -62,7 +61,7 @@
             retry_budget: Budget { ratio: 0.2, allowance: 36.0, length: Span::from_secs(10) },
             engine_load: Bound { factor: 1.8, extra: 3, backlog: 14_000 },
             grace: Span::from_secs(8),
-            hedge: hedge::Policy::OFF,
+            hedge: scenario.hedge,
         },
         features: Features::default(),
     }
@@ -108,7 +107,12 @@
     pub(super) fn execute(&mut self, vm: usize, request: RequestId, decision: Decision) {
         let caller = request.0 as usize;
         match decision {
-            Decision::Send(send) => self.send_job(vm, caller, &send),
+            // The request was answered before its gateway knew.
+            Decision::Send(send) if send.is_hedge && self.has_answer(caller) => {}
+            Decision::Send(send) => {
+                self.results.hedges += u64::from(send.is_hedge);
+                self.send_job(vm, caller, &send);
+            }
             Decision::Deliver => self.complete(caller, Outcome::Failed),
             Decision::Refuse(refusal) => {
                 let retry_after = refusal.retry_after.filter(|_| refusal.cause.is_not_run());
--- a/crates/model/src/results.rs
+++ b/crates/model/src/results.rs
@@ -50,6 +50,8 @@
     /// Number of those that reached an engine with a load above twice the pool's
     /// mean plus three.
     pub overloaded_sends: u64,
+    /// Number of second sends of late requests.
+    pub hedges: u64,
     /// Number of calls to the store.
     pub store_calls: u64,
 }
--- a/crates/model/src/scenario.rs
+++ b/crates/model/src/scenario.rs
@@ -1,6 +1,7 @@
 //! Scenarios: the load on a fleet and the faults that occur.
 
 use briarshift_catalog::Kind;
+use briarshift_routing::hedge::Policy;
 use briarshift_units::Span;
 
 use crate::{desk, engine};
@@ -61,6 +62,13 @@
         /// Number of targets.
         count: usize,
     },
+    /// Desk runners drawn at random take longer for the requests that they start.
+    Slow {
+        /// Factor by which the time is multiplied.
+        factor: f64,
+        /// Number of targets.
+        count: usize,
+    },
     /// Engines are replaced one after the other, at equal intervals over the
     /// episode.
     Release {
@@ -97,6 +105,8 @@
     pub episodes: Vec<Episode>,
     /// How long the load lasts.
     pub duration: Span,
+    /// Limit on second sends of late requests.
+    pub hedge: Policy,
 }
 
 /// Returns a small site under steady load: 6 gateways, 9 engines, 3 desk runners
@@ -120,6 +130,7 @@
         workloads: workloads(),
         episodes: Vec::new(),
         duration: Span::from_secs(30),
+        hedge: Policy::OFF,
     }
 }
 
@@ -185,6 +196,33 @@
     ]
 }
 
+/// Returns a site with 20 desk runners at two fifths of their capacity. Each second, three
+/// others are slow for 600 ms.
+pub fn slow_runners(factor: f64, hedge: Policy) -> Scenario {
+    let slow = |second| Episode {
+        disturbance: Disturbance::Slow { factor, count: 3 },
+        start: Span::from_secs(second),
+        duration: Span::from_millis(600),
+    };
+    let runner = desk::Spec { slots: 6, queue: 24, service_time: Span::from_millis(60) };
+    let mut workloads = workloads();
+    workloads.retain(|workload| !workload.kind.is_stream());
+    for (workload, rate) in workloads.iter_mut().zip([400.0, 400.0]) {
+        workload.rate = rate;
+        workload.latency_goal = Span::from_millis(300);
+        workload.deadline = Span::from_millis(1_500);
+    }
+    Scenario {
+        name: "slow",
+        runners: (20, runner),
+        workloads,
+        episodes: (0..60).map(slow).collect(),
+        duration: Span::from_secs(60),
+        hedge,
+        ..steady()
+    }
+}
+
 /// Returns the desk runners of a large site, half of which are lost. The others
 /// can serve nine tenths of the requests.
 fn runners_only(crash: Episode) -> Scenario {
--- a/crates/model/src/target.rs
+++ b/crates/model/src/target.rs
@@ -38,6 +38,8 @@
     pub(crate) is_leaving: bool,
     /// Whether its engine is executing a step.
     pub(crate) is_stepping: bool,
+    /// Factor by which its service times are multiplied.
+    pub(crate) slowdown: f64,
     number: usize,
     spec: Spec,
 }
@@ -53,6 +55,7 @@
             is_up: true,
             is_leaving: false,
             is_stepping: false,
+            slowdown: 1.0,
             number,
             spec,
         }
--- a/crates/model/tests/all/main.rs
+++ b/crates/model/tests/all/main.rs
@@ -2,4 +2,5 @@
 
 mod desk;
 mod engine;
+mod hedge;
 mod replay;
--- a/crates/routing/src/hedge.rs
+++ b/crates/routing/src/hedge.rs
@@ -417,6 +417,10 @@
 /// Part of a target's slots above which it gets no hedge.
 const MAX_TARGET_LOAD: f64 = 0.7;
 
+/// Requests above the pool's mean up to which a target gets a hedge. Operators bound what
+/// a target holds by a multiple of the mean and three more.
+const MAX_ABOVE_MEAN: f64 = 2.0;
+
 /// Keeps the candidates with room for a hedge.
 ///
 /// # Errors
@@ -441,7 +445,10 @@
     if 0.0 < slots && slots * MAX_POOL_LOAD <= load {
         return Err(Denial::Overload);
     }
-    candidates
-        .retain(|it| it.healthy && f64::from(it.load + 1) <= f64::from(it.slots) * MAX_TARGET_LOAD);
+    let mean = load / candidates.len().max(1) as f64;
+    candidates.retain(|it| {
+        let (load, slots) = (f64::from(it.load + 1), f64::from(it.slots));
+        it.healthy && load <= slots * MAX_TARGET_LOAD && load <= mean + MAX_ABOVE_MEAN
+    });
     if candidates.is_empty() { Err(Denial::NoTarget) } else { Ok(candidates) }
 }
