--- a/crates/gateway/src/request/hedge.rs
+++ b/crates/gateway/src/request/hedge.rs
@@ -213,7 +213,8 @@
     fn hedge(&mut self, step: &mut Step<'_, '_>, request: RequestId, is_draining: bool) {
         let Some(pending) = self.pending.get_mut(&request) else { return };
         let Some(first) = pending.active_send.clone() else { return };
-        if pending.hedge.is_some() {
+        // The first event of a stream came in time.
+        if pending.hedge.is_some() || pending.has_begun {
             return;
         }
         let ctx = step.ctx;
