--- a/crates/gateway/src/request/hedge.rs
+++ b/crates/gateway/src/request/hedge.rs
@@ -291,7 +291,12 @@
     let mut tried = pending.tried.clone();
     tried.push(first.target.clone());
     let query = view.query(ctx, pending);
-    let mut candidates = with_room(view.targets.candidates(&query, &pending.pool, &tried))?;
+    let mut candidates = view.targets.candidates(&query, &pending.pool, &tried);
+    candidates.retain(|candidate| {
+        let entry = view.targets.get_by_hash(TargetHash::of(candidate.name));
+        entry.is_some_and(|(_, entry)| entry.is_ready(ctx.at))
+    });
+    let mut candidates = with_room(candidates)?;
     let shared = pending.shared_tokens();
     let cached_by = |candidate: &Candidate<'_>| {
         view.cache.cached_tokens(TargetHash::of(candidate.name), pending.shared_parts(), ctx.at)
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -95,6 +95,9 @@
         self.targets.tick(ctx, out);
         self.targets.tick_limits(ctx, &self.peers, out);
         self.targets.tick_leaving(ctx, &self.peers, out);
+        self.targets.tick_evacuations(ctx, &self.peers, out);
+        let confirmed_at = self.sync.freshness().confirmed_at();
+        self.targets.tick_cold(ctx, &self.peers, confirmed_at, out);
         self.poison.tick(ctx, &self.peers, out);
         self.cache.tick(ctx.at);
         self.hedge_requests(ctx, out);
@@ -229,6 +232,11 @@
                     self.targets.receive_leaving(ctx, &report, out);
                 }
             }
+            Datagram::EvacuationReport(report) => {
+                if self.peers.address(&report.from).is_some() {
+                    self.targets.receive_evacuations(ctx, &report, out);
+                }
+            }
             Datagram::SyncRequest(request) => {
                 if let Some(address) = self.peers.address(&request.from) {
                     self.sync.handle_request(ctx, &request, address, out);
@@ -243,6 +251,9 @@
     }
 
     fn apply_update(&mut self, ctx: &Context<'_>, update: &Update, out: &mut Output) {
+        if let Some(catalog) = self.sync.catalog() {
+            self.targets.set_slow_starts(catalog);
+        }
         for crash in self.targets.update(ctx, update, out) {
             self.poison.record_crash(ctx, crash, out);
         }
@@ -261,6 +272,7 @@
         let new = incoming.placements.len().min(incoming.new_prompts as usize);
         self.targets.record_peer_sends(&incoming.placements[..new], ctx.at);
         self.targets.apply_peer_failures(&incoming.failures, ctx.at);
+        self.targets.record_peer_losses(ctx, &from, &incoming.failures, out);
         for crash in incoming.crashes {
             self.poison.record_peer_crash(ctx, crash, out);
         }
@@ -303,6 +315,7 @@
         }
         out.log(Record::new("target_down").with("target", target).with("address", address));
         out.push(Effect::CloseConnections(address));
+        self.targets.record_lost(ctx, target, out);
         for crash in self.targets.record_unreachable(target, ctx.at) {
             self.poison.record_crash(ctx, crash, out);
         }
@@ -317,9 +330,10 @@
 
     /// Reports a change of readiness, and moves a shutdown to its next phase.
     fn update_lifecycle(&mut self, ctx: &Context<'_>, out: &mut Output) {
+        // While operators evacuate all targets, callers are to get a refusal that says so.
         let ready = self.drain.is_running()
             && self.sync.freshness().is_fresh(ctx.at)
-            && 0 < self.targets.ready_count(ctx.at);
+            && (0 < self.targets.ready_count(ctx.at) || self.targets.has_evacuated());
         if ready != self.ready {
             self.ready = ready;
             out.log(Record::new("ready").with("ready", ready));
--- a/crates/gateway/tests/all/hedge.rs
+++ b/crates/gateway/tests/all/hedge.rs
@@ -7,14 +7,14 @@
 use briarshift_gateway::{Bounds, Kind};
 use briarshift_routing::hedge::Policy;
 use briarshift_routing::retry_window::Budget;
-use briarshift_store::registry::{Name, Value};
+use briarshift_store::registry::{Name, Target, Value};
 use briarshift_units::{Revision, Span};
 use proptest::prelude::{any, prop};
 use proptest::proptest;
 
 use crate::world::{
-    World, bounds, catalog, changes, expect_refusal, expect_send, heartbeat, interrupted, member,
-    not_sent, prompt,
+    World, bounds, catalog, changes, expect_refusal, expect_send, heartbeat, interrupted, leaving,
+    member, not_sent, prompt, target,
 };
 
 const TARGETS: [&str; 4] = ["t-1", "t-2", "t-3", "t-4"];
@@ -284,6 +284,25 @@
     assert_eq!(denial(&mut world, "/safe/a").unwrap(), "no_target");
 }
 
+#[test]
+fn targets_that_leave_or_are_evacuated_get_no_hedges() {
+    let changes = [
+        (Name::Target("t-2".parse().unwrap()), leaving("t-2")),
+        (Name::Evacuation("b".parse().unwrap()), Value::Evacuation),
+    ];
+    for (name, value) in changes {
+        let mut world = start(&TARGETS[..2], "/safe/a", hedging());
+        let Value::Target(other) = target("t-2", "desk") else { unreachable!() };
+        let other = Target { data_centre: "b".parse().unwrap(), ..other };
+        let id = Name::Target("t-2".parse().unwrap());
+        world.change_row(id, Some(Value::Target(other)));
+        arrive(&mut world, "/safe/a");
+        assert!(wait(&mut world, LATE).is_some());
+        world.change_row(name, Some(value));
+        assert_eq!(denial(&mut world, "/safe/a").unwrap(), "no_target");
+    }
+}
+
 #[test]
 fn hedges_draw_on_the_budget_of_retries() {
     let retry_budget = Budget { ratio: 0.0, allowance: 1.0, length: Span::from_secs(10) };
--- a/crates/model/src/target.rs
+++ b/crates/model/src/target.rs
@@ -78,6 +78,7 @@
             slots,
             status,
             start: None,
+            warmup_left: None,
         })
     }
 
