--- a/crates/gateway/src/request/choice.rs
+++ b/crates/gateway/src/request/choice.rs
@@ -74,6 +74,21 @@
     if candidates.is_empty() {
         candidates = view.targets.candidates(&query, &pending.pool, &[]);
     }
+    choose_among(step, pending, &candidates)
+}
+
+/// Chooses one of these targets for a request.
+///
+/// # Errors
+///
+/// Returns why there is none.
+pub(super) fn choose_among(
+    step: &Step<'_, '_>,
+    pending: &Pending,
+    candidates: &[Candidate<'_>],
+) -> Result<Choice, Denied> {
+    let Step { ctx, view, .. } = step;
+    let query = view.query(ctx, pending);
     let cached_by = |candidate: &Candidate<'_>| view.held_tokens(ctx, pending, candidate.name);
     let limited_until = view.targets.limited_until(&query, &pending.pool);
     let denied = match limited_until {
@@ -83,22 +98,22 @@
         }
         None => Denied::NoTarget,
     };
-    let placement = Placement::new(step, pending, &query, &candidates)?;
+    let placement = Placement::new(step, pending, &query, candidates)?;
     let index = if pending.parts.is_empty() {
         match placement.by_speed() {
-            true => placement.select_runner(&candidates),
-            false => select_runner(step, &candidates),
+            true => placement.select_runner(candidates),
+            false => select_runner(step, candidates),
         }
     } else {
         let prompt = pending.prompt(view.cache.popularity(pending.shared_parts(), ctx.at));
         let bound = &ctx.me.bounds.engine_load;
         // What engines at their limits do not get must not drown the others.
-        if limited_until.is_some() && !selection::has_room(&candidates, &prompt, bound, cached_by) {
+        if limited_until.is_some() && !selection::has_room(candidates, &prompt, bound, cached_by) {
             return Err(denied);
         }
         match placement.by_speed() {
-            true => placement.select_engine(&candidates, &prompt, cached_by),
-            false => selection::select_engine(&candidates, &prompt, bound, cached_by, ctx.entropy),
+            true => placement.select_engine(candidates, &prompt, cached_by),
+            false => selection::select_engine(candidates, &prompt, bound, cached_by, ctx.entropy),
         }
     };
     let without = if candidates.is_empty() { denied } else { Denied::NoMemory };
@@ -174,7 +189,7 @@
 /// Returns when to give up waiting for the beginning of an answer, if the
 /// request may be sent to another target.
 pub(super) fn answer_deadline(ctx: &Context<'_>, pending: &Pending) -> Option<Moment> {
-    let may_retry =
-        pending.route.kind.is_idempotent() && pending.attempts + 1 < pending.route.attempts;
+    let attempts = pending.attempts + pending.active_sends().count() as u32;
+    let may_retry = pending.route.kind.is_idempotent() && attempts + 1 < pending.route.attempts;
     may_retry.then(|| ctx.at + Span(pending.route.latency_goal.0 * ANSWER_TIMEOUT_FACTOR))
 }
--- a/crates/gateway/src/request/mod.rs
+++ b/crates/gateway/src/request/mod.rs
@@ -11,6 +11,7 @@
 mod choice;
 mod event;
 pub mod explain;
+mod hedge;
 mod pending;
 mod placement;
 mod record;
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -111,6 +111,7 @@
         self.targets.tick_speeds(ctx, &self.peers, out);
         self.poison.tick(ctx, &self.peers, out);
         self.cache.tick(ctx.at);
+        self.hedge_requests(ctx, out);
         self.write_holdings(ctx, out);
         if self.peers.is_report_due(ctx.at) {
             let (loads, placements) = (self.targets.loads(), self.cache.take_unreported());
@@ -184,6 +185,13 @@
         requests.apply(ctx, &mut view, event, out);
     }
 
+    /// Sends late requests a second time.
+    fn hedge_requests(&mut self, ctx: &Context<'_>, out: &mut Output) {
+        let is_draining = !self.drain.is_running();
+        let (requests, mut view) = self.requests_and_view(ctx);
+        requests.tick_hedges(ctx, &mut view, is_draining, out);
+    }
+
     /// Returns the requests, and what the other components know.
     fn requests_and_view(&mut self, ctx: &Context<'_>) -> (&mut request::State, request::View<'_>) {
         let view = request::View {
--- a/crates/gateway/tests/all/main.rs
+++ b/crates/gateway/tests/all/main.rs
@@ -7,6 +7,7 @@
 mod evacuation;
 mod explain;
 mod fleet;
+mod hedge;
 mod leaving;
 mod limit;
 mod load;
--- a/crates/model/src/fleet/job.rs
+++ b/crates/model/src/fleet/job.rs
@@ -108,7 +108,9 @@
     /// Schedules the end of a job that runs on a desk runner.
     pub(super) fn run_on_runner(&mut self, target: usize, job: u64) {
         let draw = self.rng.f64();
-        let slowness = self.targets[target].slowness(&self.scenario.speeds, self.scheduler.now());
+        let slowdown = self.targets[target].slowdown;
+        let now = self.scheduler.now();
+        let slowness = slowdown * self.targets[target].slowness(&self.scenario.speeds, now);
         let Server::Runner(runner) = &self.targets[target].server else { return };
         self.scheduler
             .schedule(runner.service_time(draw, slowness), Action::FinishJob(target, job));
@@ -162,7 +164,8 @@
         self.step_engine(target);
     }
 
-    /// Reports the first event of an answer to the gateway and the caller.
+    /// Reports the first event of an answer to the gateway and the caller. Another send of
+    /// the request is cancelled.
     pub(super) fn begin_answer(&mut self, number: u64) {
         let Some(job) = self.jobs.get_mut(&number) else { return };
         job.has_begun = true;
@@ -173,6 +176,18 @@
         let report = Some(self.targets[job.target].report(&self.scenario.speeds, now));
         let begun = Kind::Request(Request::AnswerBegan { id, report });
         self.scheduler.schedule(NETWORK_DELAY, Action::Deliver(vm, begun));
+        let caller = self.jobs[&number].caller;
+        let others =
+            self.jobs.iter().filter(|(other, job)| **other != number && job.caller == caller);
+        let others: Vec<u64> = others.map(|(other, _)| *other).collect();
+        for other in others {
+            self.cancel_job(other);
+        }
+    }
+
+    /// Returns true if a caller's answer has begun or it no longer waits.
+    pub(super) fn has_answer(&self, caller: usize) -> bool {
+        self.callers[caller].has_ended || self.callers[caller].first_event.is_some()
     }
 
     /// Reports the end of an answer to the gateway and the caller.
--- a/crates/model/src/scenario.rs
+++ b/crates/model/src/scenario.rs
@@ -2,6 +2,7 @@
 
 use briarshift_catalog::Kind;
 use briarshift_gateway::Features;
+use briarshift_routing::hedge::Policy;
 use briarshift_units::Span;
 
 use crate::{desk, engine};
@@ -67,6 +68,13 @@
         /// Fraction of the callers.
         share: f64,
     },
+    /// Desk runners drawn at random take longer for the requests that they start.
+    Slow {
+        /// Factor by which the time is multiplied.
+        factor: f64,
+        /// Number of targets.
+        count: usize,
+    },
     /// Engines are replaced one after the other, at equal intervals over the
     /// episode.
     Release {
@@ -137,6 +145,8 @@
     /// Standard deviation of the logarithm of callers' hints about the length of answers,
     /// if they give hints.
     pub hint_error: Option<f64>,
+    /// Limit on second sends of late requests.
+    pub hedge: Policy,
 }
 
 /// Returns a small site under steady load: 6 gateways, 9 engines, 3 desk runners
@@ -163,6 +173,7 @@
         features: Features::default(),
         speeds: EQUAL,
         hint_error: None,
+        hedge: Policy::OFF,
     }
 }
 
@@ -256,6 +267,33 @@
     }
 }
 
+/// Returns a site with 20 desk runners at two fifths of their capacity. Each second, three
+/// others are slow for 600 ms.
+pub fn slow_runners(factor: f64, hedge: Policy) -> Scenario {
+    let slow = |second| Episode {
+        disturbance: Disturbance::Slow { factor, count: 3 },
+        start: Span::from_secs(second),
+        duration: Span::from_millis(600),
+    };
+    let runner = desk::Spec { slots: 6, queue: 24, service_time: Span::from_millis(60) };
+    let mut workloads = workloads();
+    workloads.retain(|workload| !workload.kind.is_stream());
+    for (workload, rate) in workloads.iter_mut().zip([400.0, 400.0]) {
+        workload.rate = rate;
+        workload.latency_goal = Span::from_millis(300);
+        workload.deadline = Span::from_millis(1_500);
+    }
+    Scenario {
+        name: "slow",
+        runners: (20, runner),
+        workloads,
+        episodes: (0..60).map(slow).collect(),
+        duration: Span::from_secs(60),
+        hedge,
+        ..steady()
+    }
+}
+
 /// Returns engines of two makes, one of which is slower for good, with callers that hint
 /// the length of their answers.
 pub fn two_makes(vms: usize) -> Scenario {
--- a/crates/model/src/target.rs
+++ b/crates/model/src/target.rs
@@ -39,6 +39,8 @@
     pub(crate) is_leaving: bool,
     /// Whether its engine is executing a step.
     pub(crate) is_stepping: bool,
+    /// Factor by which its service times are multiplied.
+    pub(crate) slowdown: f64,
     number: usize,
     spec: Spec,
     /// How many times longer than specified work takes for good.
@@ -56,6 +58,7 @@
             is_up: true,
             is_leaving: false,
             is_stepping: false,
+            slowdown: 1.0,
             number,
             spec,
             lasting,
--- a/crates/model/tests/all/main.rs
+++ b/crates/model/tests/all/main.rs
@@ -2,5 +2,6 @@
 
 mod desk;
 mod engine;
+mod hedge;
 mod replay;
 mod uneven;
