Share a pool's room among accounts while it is short, and let requests wait

Nobody knew how much each client account uses, so a surge of one account was paid for by all, and a request without room had nowhere to wait.

Where the deployment calls for it (features.fair_shares), VMs measure what each account demands of a pool (arrival rate by slot time), tell each other of the largest demands in heartbeats and load reports while the pool is short, and divide its slots by max-min. Each VM passes the part of an account's requests that its share suffices for. What finds no room waits on the VM in a bounded queue by priority, share and time left, goes when room appears, and is refused as not run (no_room, over_share) when it would wait in vain.

--- a/crates/daemon/src/gateway/metric.rs
+++ b/crates/daemon/src/gateway/metric.rs
@@ -24,6 +24,7 @@
     catalog_revision: Gauge<u64>,
     catalog_age: Gauge<u64>,
     in_flight: Gauge<u64>,
+    waiting: Gauge<u64>,
     peers: Gauge<u64>,
     targets: Gauge<u64>,
 }
@@ -48,6 +49,7 @@
             catalog_revision: gauge("briarshift_catalog_revision", "Configuration in force"),
             catalog_age: gauge("briarshift_catalog_age_ms", "Time since it was the newest"),
             in_flight: gauge("briarshift_requests_in_flight", "Requests in flight on this VM"),
+            waiting: gauge("briarshift_requests_waiting", "Requests that wait for room"),
             peers: gauge("briarshift_peers", "Peers that are heard"),
             targets: gauge("briarshift_targets", "Targets that take new work"),
         })
@@ -77,6 +79,7 @@
         self.catalog_revision.record(status.revision.0, &[]);
         self.catalog_age.record(status.confirmed_ms_ago, &[]);
         self.in_flight.record(status.in_flight as u64, &[]);
+        self.waiting.record(status.waiting as u64, &[]);
         self.peers.record(status.peers as u64, &[]);
         self.targets.record(status.targets as u64, &[]);
     }
--- a/crates/gateway/src/limit.rs
+++ b/crates/gateway/src/limit.rs
@@ -115,6 +115,36 @@
 /// Maximum number of placements in one report. At up to 40 bytes each they fit in
 /// a datagram beside the loads of some thousand targets.
 pub const MAX_REPORTED_PLACEMENTS: usize = 600;
+/// Maximum number of demands of accounts that a VM reports. At up to 15 bytes each in a
+/// hundred heartbeats a second they take some kilobytes a second.
+pub const MAX_REPORTED_DEMANDS: usize = 12;
+/// Maximum number of demands in a relay's sum: all accounts that may be above their share,
+/// in some kilobytes.
+pub const MAX_SUMMED_DEMANDS: usize = 256;
+/// How long a pool counts as short of room after a request found no free slot in it: demands
+/// are averaged over this time.
+pub const SHORT_POOL_TIME: Span = Span::from_secs(2);
+/// How long a VM uses the level of shares that it has computed: half the shortest interval
+/// between two reports.
+pub const SHARE_LEVEL_TTL: Span = Span::from_millis(50);
+/// Maximum number of accounts whose usage of a pool a VM keeps.
+pub const MAX_TRACKED_ACCOUNTS: usize = 4_500;
+/// Maximum number of pools whose usage a VM keeps.
+pub const MAX_TRACKED_POOLS: usize = 256;
+/// Maximum number of requests that wait for one pool on a VM: what a VM of the smallest size
+/// serves in a second.
+pub const MAX_WAITING: usize = 200;
+/// Maximum size of the prompts of these requests, in tokens. Workers hold their bodies, at
+/// about four bytes a token.
+pub const MAX_WAITING_TOKENS: u64 = 2_000_000;
+/// Maximum number of refused requests whose return a VM remembers.
+pub const MAX_EXPECTED_RETURNS: usize = 4_096;
+/// How long after the time that it was told a refused request still counts as returning as
+/// told.
+pub const RETURN_TTL: Span = Span::from_secs(2);
+/// Minimum retry delay for callers refused for want of room: a request that runs ends in
+/// about this time.
+pub const RETRY_AFTER_NO_ROOM: Span = Span::from_millis(50);
 /// Minimum number of tokens for which a transfer from another engine is
 /// worthwhile: an engine computes this many in about the time that it takes to
 /// request them.
--- a/crates/gateway/src/peer/mod.rs
+++ b/crates/gateway/src/peer/mod.rs
@@ -6,6 +6,7 @@
 //! large fleet, relays spread the loads faster than heartbeats do (see
 //! [`relay`]).
 
+mod demand;
 mod load;
 mod news;
 mod ranking;
@@ -19,6 +20,7 @@
 use briarshift_store::registry::{Member, Name, Value};
 use briarshift_units::{DataCentre, Moment, Revision, Span, StartNumber, VmId};
 use briarshift_wire::datagram::Datagram;
+use briarshift_wire::demand::Demand;
 use briarshift_wire::heartbeat::{Crash, Failure, Heartbeat, Load, Placement};
 
 use crate::limit::{
@@ -28,6 +30,8 @@
 use crate::sync::Update;
 use crate::{Context, Effect, Identity, Output};
 
+pub use demand::Demands;
+pub(crate) use demand::largest as largest_demands;
 pub use load::Loads;
 pub(crate) use news::News;
 pub use ranking::Ranking;
@@ -49,6 +53,8 @@
     pub placements: Vec<Placement>,
     /// Crashes to report.
     pub crashes: Vec<Crash>,
+    /// Demands of client accounts on pools that are short of room.
+    pub demands: Vec<Demand>,
 }
 
 #[derive(Debug)]
@@ -79,6 +85,12 @@
         let latest = self.latest.as_ref().filter(|_| self.live);
         latest.map_or(&[], |latest| &latest.loads)
     }
+
+    /// Returns the demands of accounts by way of the peer, or none if it is silent.
+    fn demands(&self) -> &[Demand] {
+        let latest = self.latest.as_ref().filter(|_| self.live);
+        latest.map_or(&[], |latest| &latest.demands)
+    }
 }
 
 /// What a peer's latest heartbeat reported.
@@ -90,6 +102,7 @@
     revision_age: Option<Span>,
     prompts_sent: u64,
     loads: Vec<Load>,
+    demands: Vec<Demand>,
 }
 
 /// Content of a received heartbeat that the other components handle.
@@ -111,6 +124,8 @@
     peers: BTreeMap<VmId, Peer>,
     /// Sum of the loads of live peers.
     loads: Loads,
+    /// Sum of the demands that live peers report.
+    demands: Demands,
     relay: relay::State,
     sequence: u64,
     next_heartbeat_at: Moment,
@@ -173,6 +188,7 @@
         let peer = Peer { member, latest: None, last_report: None, live: false, known_at };
         if let Some(previous) = self.peers.insert(vm.clone(), peer) {
             self.loads.remove(previous.loads());
+            self.demands.remove(previous.demands());
         }
     }
 
@@ -194,6 +210,7 @@
             prompts_sent,
             placements,
             crashes,
+            demands,
             ..
         } = heartbeat;
         let peer = self.peers.get_mut(&from)?;
@@ -212,6 +229,8 @@
         }
         self.loads.remove(peer.loads());
         self.loads.add(&loads);
+        self.demands.remove(peer.demands());
+        self.demands.add(&demands);
         peer.live = true;
         peer.latest = Some(Latest {
             received_at: ctx.at,
@@ -220,6 +239,7 @@
             revision_age,
             prompts_sent,
             loads,
+            demands,
         });
         let new_prompts = prompts_sent.saturating_sub(previous);
         Some(Incoming { new_prompts, placements, failures, crashes })
@@ -251,6 +271,7 @@
             prompts_sent: outgoing.prompts_sent,
             placements: outgoing.placements,
             crashes: outgoing.crashes,
+            demands: outgoing.demands,
         };
         let addresses = self.addresses();
         self.last_heartbeat = Some(heartbeat.clone());
@@ -265,6 +286,7 @@
             let received_at = peer.latest.as_ref().map(|latest| latest.received_at);
             if peer.live && received_at.is_none_or(|at| timeout <= ctx.at.since(at)) {
                 self.loads.remove(peer.loads());
+                self.demands.remove(peer.demands());
                 peer.live = false;
                 out.log(Record::new("peer_silent").with("peer", vm).with("after", timeout));
             }
@@ -353,6 +375,12 @@
         self.relay.fleet(now).unwrap_or(&self.loads)
     }
 
+    /// Returns the demands of client accounts by way of all other VMs: those that a relay
+    /// recently summed up, or else those of the latest heartbeats of live peers.
+    pub fn demands(&self, now: Moment) -> &Demands {
+        self.relay.fleet_demands(now).unwrap_or(&self.demands)
+    }
+
     /// Returns true if heartbeats are so far apart that relays spread the loads.
     pub fn uses_relays(&self) -> bool {
         Span(RELAY_INTERVAL.0 * 2) < self.heartbeat_interval()
--- a/crates/gateway/src/peer/relay.rs
+++ b/crates/gateway/src/peer/relay.rs
@@ -23,19 +23,21 @@
 
 use briarshift_logging::Record;
 use briarshift_units::{DataCentre, Moment, VmId};
+use briarshift_wire::demand::Demand;
 use briarshift_wire::heartbeat::{Load, Placement};
 
-use super::Loads;
+use super::{Demands, Loads};
 use crate::limit::{
     MAX_RELAYED_AGE, MAX_REPORTED_PLACEMENTS, RELAY_INTERVAL, RELAY_RETRY_DELAY, RELAY_TIMEOUT,
 };
 use crate::{Context, Output};
 
-/// A sum of loads from a relay.
+/// A sum of loads and demands from a relay.
 #[derive(Debug)]
 struct Sum {
     received_at: Moment,
     loads: Loads,
+    demands: Demands,
 }
 
 impl Sum {
@@ -66,6 +68,7 @@
     fleet: Option<Sum>,
     /// The loads that this VM last reported. Sums contain them.
     reported: Vec<Load>,
+    reported_demands: Vec<Demand>,
     /// The placements that this VM reported and that its relay has not sent back
     /// yet, the oldest first.
     echoes: VecDeque<Placement>,
@@ -135,8 +138,14 @@
 
     /// Stores what this VM reports to another one. Sums and placements from there
     /// will contain it.
-    pub(super) fn set_reported(&mut self, loads: Vec<Load>, placements: &[Placement]) {
+    pub(super) fn set_reported(
+        &mut self,
+        loads: Vec<Load>,
+        demands: Vec<Demand>,
+        placements: &[Placement],
+    ) {
         self.reported = loads;
+        self.reported_demands = demands;
         self.echoes.extend(placements.iter().cloned());
         let excess = self.echoes.len().saturating_sub(MAX_REPORTED_PLACEMENTS);
         self.echoes.drain(..excess);
@@ -178,30 +187,53 @@
     }
 
     /// Stores the sum of another data centre.
-    pub(super) fn set_data_centre(&mut self, data_centre: DataCentre, loads: &[Load], now: Moment) {
-        self.data_centres.insert(data_centre, Sum { received_at: now, loads: Loads::of(loads) });
+    pub(super) fn set_data_centre(
+        &mut self,
+        data_centre: DataCentre,
+        loads: &[Load],
+        demands: &[Demand],
+        now: Moment,
+    ) {
+        let (loads, demands) = (Loads::of(loads), Demands::of(demands));
+        self.data_centres.insert(data_centre, Sum { received_at: now, loads, demands });
     }
 
     /// Stores the sum of the fleet that a relay sent.
-    pub(super) fn set_fleet(&mut self, from: &VmId, loads: &[Load], now: Moment) {
+    pub(super) fn set_fleet(
+        &mut self,
+        from: &VmId,
+        loads: &[Load],
+        demands: &[Demand],
+        now: Moment,
+    ) {
         if let Some(current) = self.current.as_mut().filter(|current| current.vm == *from) {
             current.heard_at = now;
         }
         let mut loads = Loads::of(loads);
         loads.subtract(&self.reported);
-        self.fleet = Some(Sum { received_at: now, loads });
+        let mut demands = Demands::of(demands);
+        demands.subtract(&self.reported_demands);
+        self.fleet = Some(Sum { received_at: now, loads, demands });
     }
 
     /// Returns the recent sums of other data centres.
-    pub(super) fn data_centres(&self, now: Moment) -> impl Iterator<Item = (&DataCentre, &Loads)> {
+    pub(super) fn data_centres(
+        &self,
+        now: Moment,
+    ) -> impl Iterator<Item = (&DataCentre, &Loads, &Demands)> {
         let recent = self.data_centres.iter().filter(move |(_, sum)| sum.is_recent(now));
-        recent.map(|(name, sum)| (name, &sum.loads))
+        recent.map(|(name, sum)| (name, &sum.loads, &sum.demands))
     }
 
     /// Returns the recent sum of the loads of all other VMs.
     pub(super) fn fleet(&self, now: Moment) -> Option<&Loads> {
         self.fleet.as_ref().filter(|sum| sum.is_recent(now)).map(|sum| &sum.loads)
     }
+
+    /// Returns the recent sum of the demands by way of all other VMs.
+    pub(super) fn fleet_demands(&self, now: Moment) -> Option<&Demands> {
+        self.fleet.as_ref().filter(|sum| sum.is_recent(now)).map(|sum| &sum.demands)
+    }
 }
 
 /// Appends placements up to the maximum for one report. The rest is dropped: it
--- a/crates/gateway/src/peer/report.rs
+++ b/crates/gateway/src/peer/report.rs
@@ -6,11 +6,12 @@
 
 use briarshift_units::{DataCentre, Moment, Span};
 use briarshift_wire::datagram::Datagram;
+use briarshift_wire::demand::Demand;
 use briarshift_wire::heartbeat::{Load, Placement};
 use briarshift_wire::load::{Report, Scope};
 
-use super::{Loads, Peer, State};
-use crate::limit::RELAYS_PER_DATA_CENTRE;
+use super::{Demands, Loads, Peer, State};
+use crate::limit::{MAX_SUMMED_DEMANDS, RELAYS_PER_DATA_CENTRE};
 use crate::{Context, Effect, Output};
 
 impl State {
@@ -24,13 +25,14 @@
         self.relay.fleet(now).is_some()
     }
 
-    /// Reports this VM's loads, and its placements since the last report, to its
-    /// relay. If this VM serves as a relay, sends sums to the relays of other data
+    /// Reports this VM's loads, the demands of accounts, and its placements since the last
+    /// report, to its relay. If this VM serves as a relay, sends sums to the relays of other data
     /// centres and to the VMs of its own.
     pub fn report(
         &mut self,
         ctx: &Context<'_>,
         loads: Vec<Load>,
+        demands: Vec<Demand>,
         placements: Vec<Placement>,
         out: &mut Output,
     ) {
@@ -43,51 +45,73 @@
             self.relay.add_local_placements(&placements);
         }
         if self.relay.serves(&ctx.me.vm, ctx.at) {
-            self.send_sums(ctx, &loads, out);
+            self.send_sums(ctx, &loads, &demands, out);
         }
         if let Some(address) = self.address(&relay) {
-            self.relay.set_reported(loads.clone(), &placements);
-            let report = self.load_report(ctx, Scope::Vm, loads, placements);
+            self.relay.set_reported(loads.clone(), demands.clone(), &placements);
+            let report = self.load_report(ctx, Scope::Vm, loads, demands, placements);
             out.push(Effect::Send { address, datagram: report });
         }
     }
 
-    fn send_sums(&mut self, ctx: &Context<'_>, own: &[Load], out: &mut Output) {
+    fn send_sums(
+        &mut self,
+        ctx: &Context<'_>,
+        own: &[Load],
+        own_demands: &[Demand],
+        out: &mut Output,
+    ) {
         let own_data_centre = &ctx.me.data_centre;
         let mut sum = Loads::of(own);
-        self.add_peer_loads(&mut sum, ctx.at, |peer| peer.is_in(own_data_centre));
+        let mut demands = Demands::of(own_demands);
+        self.add_peer_loads(&mut sum, &mut demands, ctx.at, |peer| peer.is_in(own_data_centre));
         let addresses = self.remote_relays(ctx);
         let (for_relays, for_vms) = self.relay.take_placements();
-        let datagram = self.load_report(ctx, Scope::DataCentre, sum.to_vec(), for_relays);
+        let datagram = self.load_report(
+            ctx,
+            Scope::DataCentre,
+            sum.to_vec(),
+            demands.largest(MAX_SUMMED_DEMANDS),
+            for_relays,
+        );
         out.push(Effect::Broadcast { addresses, datagram });
 
         let mut known = BTreeSet::new();
-        for (name, loads) in self.relay.data_centres(ctx.at) {
+        for (name, loads, remote) in self.relay.data_centres(ctx.at) {
             sum.add(&loads.to_vec());
+            demands.add(&remote.to_vec());
             known.insert(name.clone());
         }
-        self.add_peer_loads(&mut sum, ctx.at, |peer| {
+        self.add_peer_loads(&mut sum, &mut demands, ctx.at, |peer| {
             !peer.is_in(own_data_centre) && !known.contains(&peer.member.data_centre)
         });
         let local_peers =
             self.peers.values().filter(|peer| peer.live && peer.is_in(own_data_centre));
         let addresses = local_peers.map(|peer| peer.member.address).collect();
         let loads = sum.to_vec();
-        self.relay.set_reported(own.to_vec(), &[]);
-        self.relay.set_fleet(&ctx.me.vm, &loads, ctx.at);
-        let datagram = self.load_report(ctx, Scope::Fleet, loads, for_vms);
+        let demands = demands.largest(MAX_SUMMED_DEMANDS);
+        self.relay.set_reported(own.to_vec(), own_demands.to_vec(), &[]);
+        self.relay.set_fleet(&ctx.me.vm, &loads, &demands, ctx.at);
+        let datagram = self.load_report(ctx, Scope::Fleet, loads, demands, for_vms);
         out.push(Effect::Broadcast { addresses, datagram });
     }
 
-    /// Adds the loads of the live peers accepted by `filter`, except of those
+    /// Adds the loads and demands of the live peers accepted by `filter`, except of those
     /// that have missed a heartbeat.
-    fn add_peer_loads(&self, sum: &mut Loads, now: Moment, filter: impl Fn(&Peer) -> bool) {
+    fn add_peer_loads(
+        &self,
+        sum: &mut Loads,
+        demands: &mut Demands,
+        now: Moment,
+        filter: impl Fn(&Peer) -> bool,
+    ) {
         let max_age = Span(self.heartbeat_interval().0 * 2);
         let is_recent = |peer: &Peer| {
             peer.latest.as_ref().is_some_and(|it| now.since(it.received_at) < max_age)
         };
         for peer in self.peers.values().filter(|peer| filter(peer) && is_recent(peer)) {
             sum.add(peer.loads());
+            demands.add(peer.demands());
         }
     }
 
@@ -109,17 +133,18 @@
         ctx: &Context<'_>,
         scope: Scope,
         loads: Vec<Load>,
+        demands: Vec<Demand>,
         placements: Vec<Placement>,
     ) -> Datagram {
         let (from, start) = (ctx.me.vm.clone(), ctx.me.start);
         let sequence = self.relay.next_sequence();
-        Datagram::LoadReport(Report { from, start, sequence, scope, loads, placements })
+        Datagram::LoadReport(Report { from, start, sequence, scope, loads, placements, demands })
     }
 
     /// Applies a report if it is newer than the sender's latest one. Returns the
     /// placements that this VM does not know yet.
     pub fn receive_report(&mut self, ctx: &Context<'_>, report: Report) -> Vec<Placement> {
-        let Report { from, start, sequence, scope, loads, placements } = report;
+        let Report { from, start, sequence, scope, loads, placements, demands } = report;
         let Some(peer) = self.peers.get_mut(&from) else { return Vec::new() };
         if peer.last_report.is_some_and(|last| (start, sequence) <= last) {
             return Vec::new();
@@ -133,14 +158,17 @@
                 if let Some(latest) = latest.filter(|_| peer.live) {
                     self.loads.remove(&latest.loads);
                     self.loads.add(&loads);
+                    self.demands.remove(&latest.demands);
+                    self.demands.add(&demands);
                     latest.received_at = ctx.at;
                     latest.loads = loads;
+                    latest.demands = demands;
                 }
                 placements
             }
             Scope::DataCentre => {
                 let data_centre = peer.member.data_centre.clone();
-                self.relay.set_data_centre(data_centre, &loads, ctx.at);
+                self.relay.set_data_centre(data_centre, &loads, &demands, ctx.at);
                 // A VM that is no relay gets these placements from its relay.
                 if !self.relay.serves(&ctx.me.vm, ctx.at) {
                     return Vec::new();
@@ -149,7 +177,7 @@
                 placements
             }
             Scope::Fleet => {
-                self.relay.set_fleet(&from, &loads, ctx.at);
+                self.relay.set_fleet(&from, &loads, &demands, ctx.at);
                 self.relay.new_placements(&from, placements)
             }
         }
--- a/crates/gateway/src/request/mod.rs
+++ b/crates/gateway/src/request/mod.rs
@@ -13,8 +13,11 @@
 mod pending;
 mod record;
 mod refusal;
+mod returning;
+mod room;
 mod state;
 mod view;
+mod waiting;
 
 pub use event::{Arrival, Decision, End, Event, Send, SendId};
 pub use refusal::{Cause, Refusal};
--- a/crates/gateway/src/request/pending.rs
+++ b/crates/gateway/src/request/pending.rs
@@ -21,6 +21,8 @@
     pub backlog: u64,
     pub at: Moment,
     pub answer_began: bool,
+    /// Requests at the target before this one, from all VMs.
+    pub load: u32,
 }
 
 /// A request in progress.
--- a/crates/gateway/src/request/record.rs
+++ b/crates/gateway/src/request/record.rs
@@ -1,9 +1,11 @@
 //! Log records of requests.
 
 use briarshift_logging::Record;
+use briarshift_units::Moment;
 
 use super::choice::Choice;
 use super::pending::{ActiveSend, Pending};
+use super::room::Found;
 use super::view::Step;
 use super::{Arrival, End, Refusal, Send};
 use crate::Context;
@@ -23,6 +25,32 @@
     with_configuration(step, line)
 }
 
+/// Returns the record of a request that waits for room, or is turned away because there is
+/// none.
+pub(super) fn short(event: &'static str, pending: &Pending, found: &Found) -> Record {
+    let account = pending.account.as_ref().map_or("none", |account| account.id.as_str());
+    Record::new(event)
+        .with("request", &pending.arrival.attempt)
+        .with("pool", &pending.pool)
+        .with("account", account)
+        .with("position", found.position)
+        .with("load", found.room.load)
+        .with("slots", found.room.slots)
+        .with("demand", format!("{:.3}", found.demand))
+        .with("level", format!("{:.3}", found.level))
+        .with("over", found.is_over())
+        .with("returns", found.returns)
+        .with("expected", found.expected)
+}
+
+/// Returns the record of a request that leaves the queue to be sent.
+pub(super) fn waited(ctx: &Context<'_>, pending: &Pending, since: Moment) -> Record {
+    Record::new("waited")
+        .with("request", &pending.arrival.attempt)
+        .with("pool", &pending.pool)
+        .with("for", ctx.at.since(since))
+}
+
 /// Returns the record of a caller that left before the end.
 pub(super) fn caller_left(ctx: &Context<'_>, pending: &Pending) -> Record {
     unfinished("caller_left", ctx, pending)
--- a/crates/gateway/src/request/refusal.rs
+++ b/crates/gateway/src/request/refusal.rs
@@ -19,6 +19,10 @@
     NoTarget,
     /// The targets turned it away.
     TurnedAway,
+    /// Its pool has no room, and none is expected in time.
+    NoRoom,
+    /// Its pool is short of room, and its client account has used its share.
+    OverShare,
     /// It crashes the targets that run it.
     Poison,
     /// It was sent, and it is unknown whether it ran.
@@ -53,6 +57,8 @@
             Self::NoAccount => "no_account",
             Self::NoTarget => "no_target",
             Self::TurnedAway => "turned_away",
+            Self::NoRoom => "no_room",
+            Self::OverShare => "over_share",
             Self::Poison => "poison",
             Self::Unknown => "unknown",
             Self::Late => "late",
@@ -70,6 +76,10 @@
             Self::NoAccount => "no client account has this key: check the key",
             Self::NoTarget => "no target can be reached now: retry later",
             Self::TurnedAway => "the targets have no capacity now: retry later",
+            Self::NoRoom => "the targets have no room now: retry after the time given",
+            Self::OverShare => {
+                "this account uses its share of the targets: send fewer requests at once"
+            }
             Self::Poison => "this request crashes the targets that run it: change the request",
             Self::Unknown => "the target may have run the request: check before repeating it",
             Self::Late => "the deadline passed before the request was sent: allow more time",
--- a/crates/gateway/src/request/state.rs
+++ b/crates/gateway/src/request/state.rs
@@ -8,11 +8,12 @@
 use super::admit::admit;
 use super::choice::{Choice, Denied, answer_deadline, choose};
 use super::pending::{ActiveSend, Pending};
+use super::room::Rooms;
 use super::view::{Step, View};
 use super::{Arrival, Cause, Decision, End, Event, Refusal, Send, SendId, record};
 use crate::limit::{
-    MAX_UNREACHED, RETRY_AFTER_LEAVING, RETRY_AFTER_NO_TARGET, RETRY_AFTER_POISON,
-    RETRY_AFTER_STALE, RETRY_AFTER_TURNED_AWAY, RETRY_SPREAD_DIVISOR,
+    MAX_UNREACHED, RETRY_AFTER_LEAVING, RETRY_AFTER_NO_ROOM, RETRY_AFTER_NO_TARGET,
+    RETRY_AFTER_POISON, RETRY_AFTER_STALE, RETRY_AFTER_TURNED_AWAY, RETRY_SPREAD_DIVISOR,
 };
 use crate::target::Report;
 use crate::{Context, Effect, Output};
@@ -20,9 +21,11 @@
 /// All requests in progress.
 #[derive(Debug, Default)]
 pub struct State {
-    pending: HashMap<RequestId, Pending>,
+    pub(super) pending: HashMap<RequestId, Pending>,
     /// Recent requests and retries of each pool, which limit further retries.
     windows: BTreeMap<PoolId, Window>,
+    /// Usage of pools by client accounts, and the requests that wait for room.
+    pub(super) rooms: Rooms,
 }
 
 /// What to do after a send has ended.
@@ -64,6 +67,7 @@
     /// Ends all requests because the process ends. Their callers are told that they may
     /// have run; a stream that has begun can only be broken off.
     pub fn end_all(&mut self, ctx: &Context<'_>, out: &mut Output) {
+        self.rooms = Rooms::default();
         let mut pending: Vec<_> = std::mem::take(&mut self.pending).into_iter().collect();
         pending.sort_by_key(|(request, _)| *request);
         for (request, pending) in pending {
@@ -85,11 +89,14 @@
         let window = self.windows.entry(pending.pool.clone()).or_default();
         window.record_request(&step.ctx.me.bounds.retry_budget, step.ctx.at);
         self.pending.insert(arrival.request, pending);
-        self.dispatch(step, arrival.request);
+        match step.ctx.me.features.fair_shares {
+            true => self.enter(step, arrival.request),
+            false => self.dispatch(step, arrival.request),
+        }
     }
 
     /// Sends a request to a target, or refuses it.
-    fn dispatch(&mut self, step: &mut Step<'_, '_>, request: RequestId) {
+    pub(super) fn dispatch(&mut self, step: &mut Step<'_, '_>, request: RequestId) {
         let Some(pending) = self.pending.get_mut(&request) else { return };
         if pending.deadline <= step.ctx.at {
             return self.refuse_pending(step, request, Cause::Late);
@@ -109,9 +116,10 @@
         let Some(send) = send(step, pending, &choice, id) else { return };
         step.out.log(record::dispatched(step, pending, &choice, &send));
         record_send(step, pending, &choice);
-        let (target, backlog) = (choice.target, choice.unread_tokens);
+        let Choice { target, unread_tokens: backlog, load, .. } = choice;
+        let at = step.ctx.at;
         pending.active_send =
-            Some(ActiveSend { id, target, backlog, at: step.ctx.at, answer_began: false });
+            Some(ActiveSend { id, target, backlog, at, answer_began: false, load });
         step.out.push(Effect::Decide { request, decision: Decision::Send(send) });
     }
 
@@ -150,6 +158,10 @@
             step.view.targets.set_report(step.ctx, &active.target, report, ok, vms, step.out);
         }
         record_end(step, pending, &active, end, report);
+        let pool = pending.pool.clone();
+        if step.ctx.me.features.fair_shares {
+            self.rooms.learn(step, pending, &active, end);
+        }
         pending.record_end(&active, end);
         step.out.log(record::ended(step.ctx, pending, &active, end));
         match self.next_action(step, request, end) {
@@ -163,6 +175,7 @@
             }
             Action::Refuse(cause) => self.refuse_pending(step, request, cause),
         }
+        self.release(step, &pool, 1);
     }
 
     fn next_action(&mut self, step: &Step<'_, '_>, request: RequestId, end: &End) -> Action {
@@ -200,8 +213,10 @@
     fn handle_caller_left(&mut self, step: &mut Step<'_, '_>, request: RequestId) {
         let Some(pending) = self.pending.remove(&request) else { return };
         step.out.log(record::caller_left(step.ctx, &pending));
+        self.rooms.remove(&pending.pool, request);
         if let Some(active) = pending.active_send {
             step.view.targets.remove_request(&active.target, active.backlog);
+            self.release(step, &pending.pool, 1);
         }
     }
 
@@ -212,13 +227,18 @@
         self.refuse_pending_after(step, request, Cause::TurnedAway, wait);
     }
 
-    fn refuse_pending(&mut self, step: &mut Step<'_, '_>, request: RequestId, cause: Cause) {
+    pub(super) fn refuse_pending(
+        &mut self,
+        step: &mut Step<'_, '_>,
+        request: RequestId,
+        cause: Cause,
+    ) {
         self.refuse_pending_after(step, request, cause, Span::ZERO);
     }
 
     /// Refuses a request. The caller should wait at least for `wait` before it sends it
     /// again.
-    fn refuse_pending_after(
+    pub(super) fn refuse_pending_after(
         &mut self,
         step: &mut Step<'_, '_>,
         request: RequestId,
@@ -327,6 +347,7 @@
         Cause::Leaving => RETRY_AFTER_LEAVING,
         Cause::NoTarget => RETRY_AFTER_NO_TARGET,
         Cause::TurnedAway => RETRY_AFTER_TURNED_AWAY,
+        Cause::NoRoom | Cause::OverShare => RETRY_AFTER_NO_ROOM,
         Cause::Poison => RETRY_AFTER_POISON,
         _ => return None,
     };
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -56,6 +56,7 @@
             revision: self.sync.catalog().map(|catalog| catalog.revision()).unwrap_or_default(),
             confirmed_ms_ago: confirmed.map_or(u64::MAX, |at| now.since(at).as_millis()),
             in_flight: self.requests.len(),
+            waiting: self.requests.waiting_count(),
             targets: self.targets.ready_count(now),
             peers: self.peers.live_count(),
             ready: self.ready,
@@ -79,7 +80,10 @@
             Kind::Store { call, sent, result } => {
                 self.handle_store_reply(&ctx, &call, sent, result, &mut out);
             }
-            Kind::Datagram(datagram) => self.handle_datagram(&ctx, datagram, &mut out),
+            Kind::Datagram(datagram) => {
+                self.handle_datagram(&ctx, datagram, &mut out);
+                self.poll_waiting(&ctx, &mut out);
+            }
             Kind::TargetChecked { target, address, listens } => {
                 self.handle_target_check(&ctx, &target, address, listens, &mut out);
             }
@@ -100,7 +104,8 @@
         self.write_holdings(ctx, out);
         if self.peers.is_report_due(ctx.at) {
             let (loads, placements) = (self.targets.loads(), self.cache.take_unreported());
-            self.peers.report(ctx, loads, placements, out);
+            let demands = self.requests.demands(ctx.at);
+            self.peers.report(ctx, loads, demands, placements, out);
         }
         if self.peers.is_heartbeat_due(ctx.at) {
             let mut placements = self.cache.placements_to_send(ctx.at);
@@ -115,10 +120,12 @@
                 prompts_sent: self.cache.prompts_sent(),
                 placements,
                 crashes: self.poison.crashes_to_send(),
+                demands: self.requests.demands(ctx.at),
             };
             self.peers.send_heartbeat(ctx, outgoing, out);
             self.targets.set_silent_data_centres(self.peers.silent_data_centres(ctx.at), out);
         }
+        self.poll_waiting(ctx, out);
     }
 
     /// Writes what engines hold, and what crashes them, for VMs that start, if this VM
@@ -166,8 +173,22 @@
     }
 
     fn handle_request(&mut self, ctx: &Context<'_>, event: request::Event, out: &mut Output) {
+        let (requests, mut view) = self.requests_and_view(ctx);
+        requests.apply(ctx, &mut view, event, out);
+    }
+
+    /// Sends requests that wait for room if there is some, and gives up those that can't be
+    /// met.
+    fn poll_waiting(&mut self, ctx: &Context<'_>, out: &mut Output) {
+        if 0 < self.requests.waiting_count() {
+            let (requests, mut view) = self.requests_and_view(ctx);
+            requests.poll(ctx, &mut view, out);
+        }
+    }
+
+    fn requests_and_view(&mut self, ctx: &Context<'_>) -> (&mut request::State, request::View<'_>) {
         let leaving = self.drain.leaving(ctx.me.bounds.grace, ctx.at);
-        let mut view = request::View {
+        let view = request::View {
             catalog: self.sync.catalog(),
             freshness: self.sync.freshness(),
             targets: &mut self.targets,
@@ -176,7 +197,7 @@
             poison: &mut self.poison,
             leaving,
         };
-        self.requests.apply(ctx, &mut view, event, out);
+        (&mut self.requests, view)
     }
 
     fn handle_store_reply(
--- a/crates/gateway/src/status.rs
+++ b/crates/gateway/src/status.rs
@@ -13,6 +13,8 @@
     pub confirmed_ms_ago: u64,
     /// Requests in flight on this VM.
     pub in_flight: usize,
+    /// Requests that wait on this VM for room at targets.
+    pub waiting: usize,
     /// Targets that accept new requests.
     pub targets: usize,
     /// Peers that are live.
--- a/crates/gateway/tests/all/main.rs
+++ b/crates/gateway/tests/all/main.rs
@@ -16,4 +16,5 @@
 mod retry;
 mod start;
 mod target;
+mod waiting;
 mod world;
--- a/crates/gateway/tests/all/random.rs
+++ b/crates/gateway/tests/all/random.rs
@@ -2,8 +2,8 @@
 
 use std::collections::BTreeMap;
 
-use briarshift_gateway::Kind;
 use briarshift_gateway::request::{Decision, End, Event as Request, Send};
+use briarshift_gateway::{Features, Kind};
 use briarshift_store::registry::Name;
 use briarshift_units::RequestId;
 use proptest::prelude::{Strategy, any, prop};
@@ -96,8 +96,10 @@
     }
 }
 
-fn run_steps(steps: Vec<Step>) {
-    let mut world = World::new(&IDS);
+fn run_steps(steps: Vec<Step>, features: Features) {
+    let mut world = World::with_features("vm-1", features);
+    world.tick();
+    world.read(&IDS);
     let mut checker = Checker::default();
     let mut revision = 1;
     for (number, step) in steps.into_iter().enumerate() {
@@ -148,6 +150,11 @@
 proptest! {
     #[test]
     fn guarantees_hold_in_any_order_of_events(steps in prop::collection::vec(step(), 0..120)) {
-        run_steps(steps);
+        run_steps(steps, Features::default());
+    }
+
+    #[test]
+    fn guarantees_hold_where_requests_wait(steps in prop::collection::vec(step(), 0..240)) {
+        run_steps(steps, Features { fair_shares: true, ..Features::default() });
     }
 }
--- a/crates/gateway/tests/all/relay.rs
+++ b/crates/gateway/tests/all/relay.rs
@@ -61,6 +61,7 @@
         scope,
         loads: vec![Load { target, requests, backlog: 0 }],
         placements: Vec::new(),
+        demands: Vec::new(),
     }))
 }
 
--- a/crates/gateway/tests/all/world.rs
+++ b/crates/gateway/tests/all/world.rs
@@ -58,6 +58,11 @@
 
     /// Creates a VM that has read nothing.
     pub fn empty(vm: &str) -> Self {
+        Self::with_features(vm, Features::default())
+    }
+
+    /// Creates a VM that has read nothing, for a deployment that calls for these features.
+    pub fn with_features(vm: &str, features: Features) -> Self {
         let me = Identity {
             vm: vm.parse().unwrap(),
             start: StartNumber(1),
@@ -66,7 +71,7 @@
             link: MegabitsPerSecond(100),
             secret: Secret([1; 32]),
             bounds: bounds(),
-            features: Features::default(),
+            features,
         };
         Self {
             state: State::new(me),
@@ -285,6 +290,7 @@
         prompts_sent: 0,
         placements: Vec::new(),
         crashes: Vec::new(),
+        demands: Vec::new(),
     }))
 }
 
--- a/crates/model/src/fleet/caller.rs
+++ b/crates/model/src/fleet/caller.rs
@@ -14,10 +14,15 @@
 /// until its deadline, divided by this.
 const RETRY_WAIT_DIVISOR: u64 = 3;
 
+/// Maximum number of attempts of a caller that asks again at once.
+const IMPATIENT_ATTEMPTS: u32 = 6;
+
 /// A caller with one request.
 pub(super) struct Caller {
     /// Index of its workload.
     pub(super) workload: usize,
+    /// Index of its client account.
+    pub(super) account: usize,
     pub(super) arrived_at: Moment,
     pub(super) deadline: Moment,
     /// Parts of its prompt.
@@ -46,13 +51,15 @@
             return;
         }
         let Workload { rate, deadline, .. } = self.scenario.workloads[workload];
-        let mean = 1.0 / (rate * self.rate_factor());
+        let mean = 1.0 / (rate * self.rate_factor(workload));
         let delay = -mean * (1.0 - self.rng.f64()).ln();
         self.scheduler.schedule(Span((delay * 1e6) as u64), Action::Arrival(workload));
         let parts = self.draw_parts(workload);
         let events = self.draw_exponential(self.scenario.workloads[workload].prompt.events);
+        let account = self.draw_account();
         let caller = Caller {
             workload,
+            account,
             arrived_at: now,
             deadline: now + deadline,
             parts,
@@ -68,6 +75,20 @@
         self.send_request(self.callers.len() - 1);
     }
 
+    /// Draws the account of a request at random, by the accounts' current rates.
+    fn draw_account(&mut self) -> usize {
+        if self.scenario.accounts.is_empty() {
+            return 0;
+        }
+        let rates = self.account_rates();
+        let mut left = self.rng.f64() * rates.iter().sum::<f64>();
+        let drawn = rates.iter().position(|rate| {
+            left -= rate;
+            left < 0.0
+        });
+        drawn.unwrap_or(rates.len() - 1)
+    }
+
     /// Draws the prompt of a request at random. Empty for desk runners.
     pub(super) fn draw_parts(&mut self, workload: usize) -> Vec<Part> {
         let Workload { prompt, kind, .. } = &self.scenario.workloads[workload];
@@ -101,6 +122,7 @@
     /// random.
     pub(super) fn send_request(&mut self, index: usize) {
         let now = self.scheduler.now();
+        let has_accounts = !self.scenario.accounts.is_empty();
         let caller = &mut self.callers[index];
         if caller.has_ended {
             return;
@@ -116,7 +138,7 @@
             at: now,
             host: "model.example".into(),
             path: format!("/{}/x", self.scenario.workloads[caller.workload].name).into(),
-            key: None,
+            key: has_accounts.then(|| format!("key-{}", caller.account).into()),
             deadline: Some(left),
             parts: caller.parts.clone(),
             fingerprint: Fingerprint(index as u64),
@@ -131,9 +153,14 @@
     /// and enough time is left.
     pub(super) fn refuse(&mut self, index: usize, retry_after: Option<Span>) {
         let now = self.scheduler.now();
+        let is_impatient =
+            self.active_disturbances().any(|it| matches!(it, Disturbance::Impatience));
         let caller = &mut self.callers[index];
         let left = caller.deadline.since(now);
         caller.refused = true;
+        if is_impatient && caller.attempts < IMPATIENT_ATTEMPTS {
+            return self.scheduler.schedule(NETWORK_DELAY, Action::Retry(index));
+        }
         match retry_after
             .filter(|wait| wait.0 <= left.0 / RETRY_WAIT_DIVISOR && caller.attempts < 2)
         {
@@ -165,9 +192,10 @@
         if std::mem::replace(&mut caller.has_ended, true) {
             return;
         }
-        let Caller { workload, arrived_at, first_event, duration, .. } = *caller;
+        let Caller { workload, account, arrived_at, first_event, duration, .. } = *caller;
         self.results.completions.push(Completion {
             workload,
+            account,
             arrived_at,
             first_event,
             duration,
--- a/crates/model/src/fleet/disturbance.rs
+++ b/crates/model/src/fleet/disturbance.rs
@@ -7,6 +7,7 @@
 use super::{Action, Fleet, WARM_UP};
 use crate::results::Outcome;
 use crate::scenario::{Disturbance, Episode};
+use crate::target::data_centre;
 
 /// Time from the announcement that an engine leaves until it stops.
 const LEAVE_TIME: Span = Span::from_secs(4);
@@ -24,12 +25,35 @@
         self.scenario.episodes.iter().filter(is_active).map(|episode| episode.disturbance)
     }
 
-    /// Returns the factor by which request rates are multiplied now.
-    pub(super) fn rate_factor(&self) -> f64 {
-        let factor = |disturbance| {
-            if let Disturbance::Burst { factor } = disturbance { factor } else { 1.0 }
+    /// Returns the factor by which the request rate of a workload is multiplied now.
+    pub(super) fn rate_factor(&self, workload: usize) -> f64 {
+        let factor = |disturbance| match disturbance {
+            Disturbance::Burst { factor } => factor,
+            Disturbance::BurstOf { workload: burst, factor } if burst == workload => factor,
+            _ => 1.0,
         };
-        self.active_disturbances().map(factor).product()
+        let usual: f64 = self.scenario.accounts.iter().sum();
+        let surge =
+            if 0.0 < usual { self.account_rates().iter().sum::<f64>() / usual } else { 1.0 };
+        surge * self.active_disturbances().map(factor).product::<f64>()
+    }
+
+    /// Returns the current relative rates of the accounts.
+    pub(super) fn account_rates(&self) -> Vec<f64> {
+        let mut rates = self.scenario.accounts.clone();
+        for disturbance in self.active_disturbances() {
+            if let Disturbance::Surge { account, factor } = disturbance {
+                rates[account] *= factor;
+            }
+        }
+        rates
+    }
+
+    /// Returns true if a datagram between two gateways is lost.
+    pub(super) fn is_cut(&self, from: usize, to: usize) -> bool {
+        let is_first = |vm| data_centre(vm) == data_centre(0);
+        is_first(from) != is_first(to)
+            && self.active_disturbances().any(|it| matches!(it, Disturbance::Cut))
     }
 
     /// Applies the disturbance of an episode that starts.
@@ -49,7 +73,12 @@
                     Span(self.scenario.episodes[episode].duration.0 / count.max(1) as u64);
                 self.replace_engine(count, interval);
             }
-            Disturbance::Burst { .. } | Disturbance::Popular { .. } => {}
+            Disturbance::Burst { .. }
+            | Disturbance::BurstOf { .. }
+            | Disturbance::Surge { .. }
+            | Disturbance::Impatience
+            | Disturbance::Cut
+            | Disturbance::Popular { .. } => {}
         }
     }
 
--- a/crates/model/src/fleet/mod.rs
+++ b/crates/model/src/fleet/mod.rs
@@ -126,7 +126,7 @@
             fleet.add_target(false);
         }
         for vm in 0..scenario.vms {
-            let me = vm::identity(vm, &mut fleet.rng);
+            let me = vm::identity(vm, scenario, &mut fleet.rng);
             fleet.addresses.insert(me.address, vm);
             fleet.vms.push(State::new(me));
             let delay = Span(fleet.rng.u64(..TICK_INTERVAL.0));
--- a/crates/model/src/fleet/vm.rs
+++ b/crates/model/src/fleet/vm.rs
@@ -3,9 +3,9 @@
 
 use std::net::{Ipv4Addr, SocketAddr};
 
-use briarshift_catalog::{Catalog, Engine as EngineSpec, Pool, Route};
-use briarshift_gateway::request::Decision;
-use briarshift_gateway::{Bounds, Effect, Event, Features, Identity, Kind};
+use briarshift_catalog::{Account, Catalog, Engine as EngineSpec, Pool, Route};
+use briarshift_gateway::request::{Cause, Decision};
+use briarshift_gateway::{Bounds, Effect, Event, Identity, Kind};
 use briarshift_routing::retry_window::Budget;
 use briarshift_routing::selection::Bound;
 use briarshift_store::registry::Secret;
@@ -38,15 +38,20 @@
             .timeouts(workload.deadline, workload.latency_goal)
             .attempts(workload.attempts)
             .priority(workload.priority)
-            .public(true)
+            .public(scenario.accounts.is_empty())
             .cache_aware(workload.kind.is_stream());
         catalog = catalog.route(route.build());
     }
+    for account in 0..scenario.accounts.len() {
+        let id = format!("account-{account}").parse().expect("an identifier");
+        let key = format!("key-{account}");
+        catalog = catalog.account(Account { id, priority: None }, [key.as_str().into()]);
+    }
     catalog.build()
 }
 
 /// Returns the identity of the gateway with this index.
-pub(super) fn identity(number: usize, rng: &mut Rng) -> Identity {
+pub(super) fn identity(number: usize, scenario: &Scenario, rng: &mut Rng) -> Identity {
     let [.., high, low] = number.to_be_bytes();
     Identity {
         vm: format!("vm-{number}").parse().expect("an identifier"),
@@ -62,7 +67,7 @@
             engine_load: Bound { factor: 1.8, extra: 3, backlog: 14_000 },
             grace: Span::from_secs(8),
         },
-        features: Features::default(),
+        features: scenario.features,
     }
 }
 
@@ -76,10 +81,10 @@
                     let now = self.scheduler.now();
                     self.scheduler.schedule(STORE_CALL_TIME, Action::StoreCall(vm, call, now));
                 }
-                Effect::Send { address, datagram } => self.send_datagram(address, &datagram),
+                Effect::Send { address, datagram } => self.send_datagram(vm, address, &datagram),
                 Effect::Broadcast { addresses, datagram } => {
                     for address in addresses {
-                        self.send_datagram(address, &datagram);
+                        self.send_datagram(vm, address, &datagram);
                     }
                 }
                 Effect::CheckTarget { target, address } => {
@@ -94,14 +99,28 @@
         }
     }
 
-    /// Sends a datagram to the gateway at an address, if there is one.
-    pub(super) fn send_datagram(&mut self, to: SocketAddr, datagram: &Datagram) {
-        if let Some(vm) = self.addresses.get(&to) {
+    /// Sends a datagram to the gateway at an address, if there is one that hears this one.
+    pub(super) fn send_datagram(&mut self, from: usize, to: SocketAddr, datagram: &Datagram) {
+        if let Some(vm) = self.addresses.get(&to).filter(|vm| !self.is_cut(from, **vm)) {
             self.scheduler
                 .schedule(NETWORK_DELAY, Action::Deliver(*vm, Kind::Datagram(datagram.clone())));
         }
     }
 
+    /// Counts a refusal for want of room while the pool has some.
+    fn count_refusal(&mut self, caller: usize, cause: Cause) {
+        if !matches!(cause, Cause::NoRoom | Cause::OverShare) {
+            return;
+        }
+        let workload = &self.scenario.workloads[self.callers[caller].workload];
+        let pool = pool(workload.kind.is_stream());
+        let up = self.targets.iter().filter(|it| it.pool == pool && it.is_up);
+        let loads = up.map(|it| (it.load(), it.slots()));
+        let (taken, waiting, slots) = loads
+            .fold((0, 0, 0), |sum, (load, slots)| (sum.0 + load.0, sum.1 + load.1, sum.2 + slots));
+        self.results.refused_with_room += u64::from(taken * 2 < slots && waiting == 0);
+    }
+
     /// Executes a gateway's decision on a request.
     pub(super) fn execute(&mut self, vm: usize, request: RequestId, decision: Decision) {
         let caller = request.0 as usize;
@@ -109,6 +128,7 @@
             Decision::Send(send) => self.send_job(vm, caller, &send),
             Decision::Deliver => self.complete(caller, Outcome::Failed),
             Decision::Refuse(refusal) => {
+                self.count_refusal(caller, refusal.cause);
                 let retry_after = refusal.retry_after.filter(|_| refusal.cause.is_not_run());
                 self.refuse(caller, retry_after);
             }
--- a/crates/model/src/results.rs
+++ b/crates/model/src/results.rs
@@ -21,6 +21,8 @@
 pub struct Completion {
     /// Index of its workload in the scenario.
     pub workload: usize,
+    /// Index of its client account; 0 if there are none.
+    pub account: usize,
     /// Time of the first attempt.
     pub arrived_at: Moment,
     /// Time from the first attempt to the first event of the answer.
@@ -50,6 +52,9 @@
     /// Number of those that reached an engine with a load above twice the pool's
     /// mean plus three.
     pub overloaded_sends: u64,
+    /// Number of refusals for want of room while under half of the pool's slots were taken
+    /// and nothing waited there.
+    pub refused_with_room: u64,
     /// Number of calls to the store.
     pub store_calls: u64,
 }
@@ -75,6 +80,14 @@
         matching as f64 / total.max(1) as f64
     }
 
+    /// Returns the number of an account's requests, and how many of them were answered.
+    pub fn served(&self, account: usize) -> (usize, usize) {
+        let own = self.completions.iter().filter(|ended| ended.account == account);
+        let is_served =
+            |ended: &&Completion| matches!(ended.outcome, Outcome::InTime | Outcome::Late);
+        (own.clone().count(), own.filter(is_served).count())
+    }
+
     /// Returns a quantile, 0 to 1, of the time to the first event of a workload's
     /// answers.
     pub fn first_event_quantile(&self, workload: usize, quantile: f64) -> Span {
--- a/crates/model/src/scenario.rs
+++ b/crates/model/src/scenario.rs
@@ -1,6 +1,7 @@
 //! Scenarios: the load on a fleet and the faults that occur.
 
 use briarshift_catalog::Kind;
+use briarshift_gateway::Features;
 use briarshift_units::Span;
 
 use crate::{desk, engine};
@@ -49,6 +50,24 @@
         /// Factor by which the rate is multiplied.
         factor: f64,
     },
+    /// The request rate of one workload increases.
+    BurstOf {
+        /// Index of the workload.
+        workload: usize,
+        /// Factor by which its rate is multiplied.
+        factor: f64,
+    },
+    /// One client account sends more than usual.
+    Surge {
+        /// Index of the account.
+        account: usize,
+        /// Factor by which its rate is multiplied.
+        factor: f64,
+    },
+    /// Callers that are refused ask again at once, and often.
+    Impatience,
+    /// The gateways of the first data centre and the others do not hear each other.
+    Cut,
     /// Many requests of the first workload have the same topic.
     Popular {
         /// Fraction of the requests.
@@ -91,6 +110,10 @@
     pub engines: (usize, engine::Spec),
     /// Number of desk runners, and their properties.
     pub runners: (usize, desk::Spec),
+    /// Relative request rates of the client accounts. Without any, all routes are public.
+    pub accounts: Vec<f64>,
+    /// What the gateways' deployment calls for.
+    pub features: Features,
     /// The workloads.
     pub workloads: Vec<Workload>,
     /// The disturbances.
@@ -117,6 +140,8 @@
         vms: 6,
         engines: (9, engine),
         runners: (3, runner),
+        accounts: Vec::new(),
+        features: Features::default(),
         workloads: workloads(),
         episodes: Vec::new(),
         duration: Span::from_secs(30),
@@ -205,3 +230,35 @@
         ..steady()
     }
 }
+
+/// Returns desk runners that are half taken by 24 accounts, the first of which sends a fifth
+/// of the requests, with `vms` gateways.
+pub fn accounts(vms: usize, disturbances: &[Disturbance]) -> Scenario {
+    let runner = desk::Spec { slots: 6, queue: 24, service_time: Span::from_millis(60) };
+    let desk = |name, kind, rate, attempts, priority| Workload {
+        name,
+        kind,
+        rate,
+        prompt: Prompt::default(),
+        latency_goal: Span::from_millis(300),
+        deadline: Span::from_secs(4),
+        attempts,
+        priority,
+    };
+    let (start, duration) = (Span::from_secs(4), Span::from_secs(16));
+    let episode = |&disturbance| Episode { disturbance, start, duration };
+    Scenario {
+        name: "accounts",
+        vms,
+        engines: (0, steady().engines.1),
+        runners: (4, runner),
+        accounts: (0..24).map(|account| if account == 0 { 5.75 } else { 1.0 }).collect(),
+        features: Features { fair_shares: true, ..Features::default() },
+        workloads: vec![
+            desk("booking", Kind::Unsafe, 160.0, 1, 0),
+            desk("lookup", Kind::Safe, 40.0, 2, 1),
+        ],
+        episodes: disturbances.iter().map(episode).collect(),
+        duration: Span::from_secs(24),
+    }
+}
--- a/crates/model/src/target.rs
+++ b/crates/model/src/target.rs
@@ -66,13 +66,11 @@
 
     /// Returns its row in the store's registry.
     pub(crate) fn row(&self, status: Status) -> Value {
-        let (Spec::Engine(engine::Spec { slots, .. }) | Spec::Runner(desk::Spec { slots, .. })) =
-            self.spec;
         Value::Target(Row {
             pool: self.pool.clone(),
             address: self.address,
             data_centre: data_centre(self.number),
-            slots,
+            slots: self.slots(),
             status,
             start: None,
         })
@@ -81,9 +79,7 @@
     /// Returns the load report that it sends with its answers.
     pub(crate) fn report(&self) -> Report {
         let (running, waiting) = self.load();
-        let (Spec::Engine(engine::Spec { slots, .. }) | Spec::Runner(desk::Spec { slots, .. })) =
-            self.spec;
-        Report { load: Some(Load { running, waiting, slots }), ..Report::default() }
+        Report { load: Some(Load { running, waiting, slots: self.slots() }), ..Report::default() }
     }
 
     /// Returns the number of running and of waiting requests.
@@ -94,6 +90,13 @@
         }
     }
 
+    /// Returns the number of requests that it runs concurrently.
+    pub(crate) fn slots(&self) -> u32 {
+        let (Spec::Engine(engine::Spec { slots, .. }) | Spec::Runner(desk::Spec { slots, .. })) =
+            self.spec;
+        slots
+    }
+
     /// Returns the running and waiting jobs.
     pub(crate) fn jobs(&self) -> Vec<u64> {
         match &self.server {
--- a/crates/model/tests/all/main.rs
+++ b/crates/model/tests/all/main.rs
@@ -3,3 +3,4 @@
 mod desk;
 mod engine;
 mod replay;
+mod share;
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -20,5 +20,7 @@
 pub mod retry;
 pub mod retry_window;
 pub mod selection;
+pub mod share;
 pub mod spread;
 pub mod token;
+pub mod waiting;
--- a/crates/routing/tests/all/main.rs
+++ b/crates/routing/tests/all/main.rs
@@ -9,5 +9,7 @@
 mod rank;
 mod retry_window;
 mod selection;
+mod share;
 mod spread;
 mod token;
+mod waiting;
--- a/crates/wire/src/heartbeat.rs
+++ b/crates/wire/src/heartbeat.rs
@@ -10,6 +10,8 @@
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::demand::Demand;
+
 /// Identifies a target in heartbeats by a hash of its id.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct TargetHash(pub u32);
@@ -92,4 +94,7 @@
     /// The newest crashes that the sender saw. Each is repeated in several
     /// heartbeats, in case one is lost.
     pub crashes: Vec<Crash>,
+    /// The largest demands of client accounts on pools that the sender sees as short of
+    /// room.
+    pub demands: Vec<Demand>,
 }
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -12,6 +12,7 @@
 mod versioned;
 
 pub mod crash;
+pub mod demand;
 pub mod heartbeat;
 pub mod datagram;
 pub mod document;
--- a/crates/wire/src/load.rs
+++ b/crates/wire/src/load.rs
@@ -10,6 +10,7 @@
 use briarshift_units::{StartNumber, VmId};
 use serde::{Deserialize, Serialize};
 
+use crate::demand::Demand;
 use crate::heartbeat::{Load, Placement};
 
 /// Loads at targets, as of one time.
@@ -28,6 +29,9 @@
     /// Where prompts of these VMs went since the sender's previous report. Each
     /// is reported once.
     pub placements: Vec<Placement>,
+    /// The largest demands of client accounts, by way of these VMs, on pools that are short
+    /// of room.
+    pub demands: Vec<Demand>,
 }
 
 /// The VMs whose loads a report sums.
