Keep shares steady under load, and note how they are decided

The places for accounts over their shares fall with the overload instead of at once, and the pool's most urgent priority counts as urgent, whatever its number.

--- a/crates/gateway/src/request/room.rs
+++ b/crates/gateway/src/request/room.rs
@@ -23,6 +23,8 @@
 
 /// Weight of an answer in the averages of the time that a request takes.
 const TIME_WEIGHT: f64 = 1.0 / 16.0;
+/// Number of answers after which the averages are known.
+const MIN_ANSWERS: u32 = 16;
 /// Latency goals in the time that a request is assumed to take before any has ended.
 const ASSUMED_TIME_DIVISOR: f64 = 4.0;
 
@@ -102,14 +104,18 @@
 }
 
 /// One pool.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(super) struct Pool {
     pub queue: Queue,
+    /// The most urgent priority of its requests.
+    most_urgent: u8,
     // Ordered, so that equal events lead to equal decisions.
     accounts: BTreeMap<AccountHash, Account>,
     /// Averages of the slot time of requests in seconds, and of their cost.
     time: f64,
     cost: f64,
+    /// Number of answers that these averages are of, up to [`MIN_ANSWERS`].
+    answers: u32,
     /// When a request last found no free slot.
     short_at: Option<Moment>,
     /// How the slots are shared out, and when that was computed.
@@ -135,7 +141,7 @@
             let oldest = idle.min_by_key(|(_, pool)| pool.used_at).map(|(id, _)| id.clone());
             oldest.and_then(|id| self.pools.remove(&id));
         }
-        let pool = self.pools.entry(id.clone()).or_default();
+        let pool = self.pools.entry(id.clone()).or_insert_with(Pool::new);
         pool.used_at = now;
         pool
     }
@@ -156,14 +162,19 @@
         end: &End,
     ) {
         let Some(entry) = step.view.targets.get(&active.target) else { return };
-        // A request that may have waited at its target does not show how long it took a slot.
+        // A request that may have waited at its target does not show how long it took a slot,
+        // nor does any while the pool is short: a slow answer would raise all demands, and
+        // these what is refused.
         let reported = entry.reported_load(step.ctx.at);
         let at_target = reported.map_or(active.load, |load| load.running + load.waiting);
         if !matches!(end, End::Complete { ok: true }) || entry.target.slots <= at_target {
             return;
         }
         let time = step.ctx.at.since(active.at).as_secs_f64();
-        self.pool(&pending.pool, step.ctx.at).learn(time, cost(pending));
+        let pool = self.pool(&pending.pool, step.ctx.at);
+        if !pool.is_short(step.ctx.at) || pool.answers < MIN_ANSWERS {
+            pool.learn(time, cost(pending));
+        }
     }
 
     /// Returns the demands of accounts on pools that are short of room, for reports.
@@ -181,8 +192,30 @@
 }
 
 impl Pool {
+    fn new() -> Self {
+        Self {
+            queue: Queue::default(),
+            most_urgent: u8::MAX,
+            accounts: BTreeMap::new(),
+            time: 0.0,
+            cost: 0.0,
+            answers: 0,
+            short_at: None,
+            division: None,
+            allowance: 0,
+            allowance_at: Moment::default(),
+            used_at: Moment::default(),
+        }
+    }
+
+    /// Returns true if no request of the pool is more urgent than one of this priority.
+    pub fn is_urgent(&self, priority: u8) -> bool {
+        priority <= self.most_urgent
+    }
+
     fn learn(&mut self, time: f64, cost: f64) {
-        let weight = if self.cost == 0.0 { 1.0 } else { TIME_WEIGHT };
+        self.answers = MIN_ANSWERS.min(self.answers + 1);
+        let weight = (1.0 / f64::from(self.answers)).max(TIME_WEIGHT);
         self.time += weight * (time - self.time);
         self.cost += weight * (cost - self.cost);
     }
@@ -191,6 +224,7 @@
     pub fn record(&mut self, pending: &Pending, now: Moment) {
         let account = account_hash(pending);
         let cost = cost(pending);
+        self.most_urgent = self.most_urgent.min(pending.priority());
         if MAX_TRACKED_ACCOUNTS <= self.accounts.len() && !self.accounts.contains_key(&account) {
             self.accounts.retain(|_, it| !it.usage.is_over(cost, now));
             if MAX_TRACKED_ACCOUNTS <= self.accounts.len() {
@@ -296,6 +330,11 @@
         left.is_some()
     }
 
+    /// Returns how many slots are demanded for each that there is, as last computed.
+    pub fn overload(&self) -> f64 {
+        self.division.map_or(1.0, |(_, division)| division.overload())
+    }
+
     /// Returns how the slots are shared among all accounts that this VM knows of.
     fn division(&mut self, step: &Step<'_, '_>, hash: PoolHash, room: Room) -> Division {
         let now = step.ctx.at;
--- a/crates/gateway/src/request/waiting.rs
+++ b/crates/gateway/src/request/waiting.rs
@@ -194,7 +194,9 @@
 /// Returns the load up to which a request goes.
 fn limit(pool: &Pool, pending: &Pending, room: Room, is_over: bool) -> f64 {
     let goal = pending.route.latency_goal;
-    places(room.slots, goal, pool.slot_time(pending), pending.priority() == 0, is_over)
+    let overload = is_over.then(|| pool.overload());
+    let is_urgent = pool.is_urgent(pending.priority());
+    places(room.slots, goal, pool.slot_time(pending), is_urgent, overload)
 }
 
 /// Returns how long a request waits for its turn. `None` if it is turned away at once.
--- a/crates/routing/src/share.rs
+++ b/crates/routing/src/share.rs
@@ -85,6 +85,11 @@
         Self { level: level(demands, capacity), mean }
     }
 
+    /// Returns how many slots are demanded for each that there is, at least 1.
+    pub fn overload(&self) -> f64 {
+        1.0 / self.mean.max(f64::MIN_POSITIVE)
+    }
+
     /// Returns the part of an account's requests, 0 to 1, that its share suffices for. An
     /// account that sends far more than its share keeps a part of what it would get without
     /// shares, so that none starves.
--- a/crates/routing/src/waiting.rs
+++ b/crates/routing/src/waiting.rs
@@ -21,8 +21,11 @@
 /// Part of a latency goal that requests may queue at a target: enough to keep its slots
 /// busy until the next report of loads, and little enough to be answered in time.
 const TARGET_WAIT: f64 = 0.75;
-/// Part of that time for requests whose account has used its share.
-const OVER_SHARE_PART: f64 = 0.5;
+/// Part of that time, at least, for requests whose account has used its share.
+const MIN_OVER_SHARE_PART: f64 = 0.5;
+/// How fast that part falls with what the accounts demand beyond the slots. A little more
+/// than there is room for is a longer queue for some seconds; much more soon fills it.
+const OVER_SHARE_SLOPE: f64 = 2.0;
 /// Part of that time for requests that are not the most urgent.
 const LESS_URGENT_PART: f64 = 0.75;
 /// Maximum number of requests at a target for each of its slots. Targets hold a short queue,
@@ -201,7 +204,8 @@
 /// Returns the number of requests that targets with this many `slots` may have when one more
 /// is sent: as many as keep them busy, without a queue in which the latency `goal` is lost.
 /// Urgent requests may queue there longer than others, and those within their account's
-/// share longer than those over it. `slot_time` is how long a request takes a slot.
+/// share longer than those over it, for which `overload` tells how many slots are demanded
+/// for each that there is. `slot_time` is how long a request takes a slot.
 ///
 /// # Examples
 ///
@@ -209,19 +213,22 @@
 /// use briarshift_routing::waiting::places;
 /// use briarshift_units::Span;
 /// let (goal, slot_time) = (Span::from_millis(300), Span::from_millis(75));
-/// assert_eq!(places(24, goal, slot_time, true, false), 96.0);
-/// assert_eq!(places(24, goal, slot_time, true, true), 60.0);
-/// assert_eq!(places(24, goal, slot_time, false, true), 51.0);
+/// assert_eq!(places(24, goal, slot_time, true, None), 96.0);
+/// assert_eq!(places(24, goal, slot_time, true, Some(1.5)), 60.0);
+/// assert_eq!(places(24, goal, slot_time, false, Some(1.5)), 51.0);
+/// assert_eq!(places(24, goal, slot_time, true, Some(1.0)), 96.0);
 /// ```
 pub fn places(
     slots: u32,
     goal: Span,
     slot_time: Span,
     is_urgent: bool,
-    is_over_share: bool,
+    overload: Option<f64>,
 ) -> f64 {
     let queued = goal.0 as f64 * TARGET_WAIT / slot_time.0.max(1) as f64;
-    let by_share = if is_over_share { OVER_SHARE_PART } else { 1.0 };
+    let over_share =
+        |overload: f64| (1.0 - OVER_SHARE_SLOPE * (overload - 1.0)).clamp(MIN_OVER_SHARE_PART, 1.0);
+    let by_share = overload.map_or(1.0, over_share);
     let by_urgency = if is_urgent { 1.0 } else { LESS_URGENT_PART };
     let allowed = queued.min(MAX_PLACES_PER_SLOT - 1.0) * by_share * by_urgency;
     f64::from(slots) * (1.0 + allowed)
