--- a/crates/gateway/src/request/hedge.rs
+++ b/crates/gateway/src/request/hedge.rs
@@ -249,10 +249,11 @@
         let id = SendId { request, number: pending.sends };
         let Some(send) = send(step, pending, &choice, id) else { return };
         self.hedging.window.withdraw(&bounds.hedge, ctx.at);
-        let (target, backlog) = (choice.target.clone(), choice.unread_tokens);
+        let Choice { load, unread_tokens: backlog, .. } = choice;
+        let target = choice.target.clone();
         let (at, answer_began, is_hedge) = (ctx.at, false, true);
         let work = work::Active { found_queue: choice.has_queue, ..work::Active::default() };
-        let hedge = ActiveSend { id, target, backlog, at, answer_began, is_hedge, work };
+        let hedge = ActiveSend { id, target, backlog, at, answer_began, is_hedge, load, work };
         let late_after = condition.late_after.unwrap_or_default();
         step.out.log(record::hedged(ctx, pending, &first, &hedge, late_after));
         step.out.log(record::dispatched(step, pending, &choice, &send));
--- a/crates/gateway/src/request/mod.rs
+++ b/crates/gateway/src/request/mod.rs
@@ -16,8 +16,11 @@
 mod placement;
 mod record;
 mod refusal;
+mod returning;
+mod room;
 mod state;
 mod view;
+mod waiting;
 mod work;
 
 pub use event::{Arrival, Decision, End, Event, Send, SendId};
--- a/crates/gateway/src/request/pending.rs
+++ b/crates/gateway/src/request/pending.rs
@@ -23,6 +23,8 @@
     pub backlog: u64,
     pub at: Moment,
     pub answer_began: bool,
+    /// Requests at the target before this one, from all VMs.
+    pub load: u32,
     /// What is learned from the answer.
     pub work: Active,
     pub is_hedge: bool,
--- a/crates/gateway/src/request/refusal.rs
+++ b/crates/gateway/src/request/refusal.rs
@@ -21,6 +21,10 @@
     Evacuated,
     /// The targets turned it away.
     TurnedAway,
+    /// Its pool has no room, and none is expected in time.
+    NoRoom,
+    /// Its pool is short of room, and its client account has used its share.
+    OverShare,
     /// No engine has memory for it now.
     NoMemory,
     /// It is larger than the memory of each engine.
@@ -60,6 +64,8 @@
             Self::NoTarget => "no_target",
             Self::Evacuated => "evacuated",
             Self::TurnedAway => "turned_away",
+            Self::NoRoom => "no_room",
+            Self::OverShare => "over_share",
             Self::NoMemory => "no_memory",
             Self::TooLarge => "too_large",
             Self::Poison => "poison",
@@ -80,6 +86,10 @@
             Self::NoTarget => "no target can be reached now: retry later",
             Self::Evacuated => "operators evacuate all targets that could run it: retry later",
             Self::TurnedAway => "the targets have no capacity now: retry later",
+            Self::NoRoom => "the targets have no room now: retry after the time given",
+            Self::OverShare => {
+                "this account uses its share of the targets: send fewer requests at once"
+            }
             Self::NoMemory => "no engine has memory for the request now: retry later",
             Self::TooLarge => "the prompt exceeds the memory of the engines: shorten it",
             Self::Poison => "this request crashes the targets that run it: change the request",
--- a/crates/gateway/src/request/state.rs
+++ b/crates/gateway/src/request/state.rs
@@ -10,12 +10,13 @@
 use super::explain::{self, Answer, Question};
 use super::hedge;
 use super::pending::{ActiveSend, Pending};
+use super::room::Rooms;
 use super::view::{Step, View};
 use super::{Arrival, Cause, Decision, End, Event, Refusal, Send, SendId, record, work};
 use crate::limit::{
     MAX_UNREACHED, RETRY_AFTER_EVACUATED, RETRY_AFTER_LEAVING, RETRY_AFTER_NO_MEMORY,
-    RETRY_AFTER_NO_TARGET, RETRY_AFTER_POISON, RETRY_AFTER_STALE, RETRY_AFTER_TURNED_AWAY,
-    RETRY_SPREAD_DIVISOR,
+    RETRY_AFTER_NO_ROOM, RETRY_AFTER_NO_TARGET, RETRY_AFTER_POISON, RETRY_AFTER_STALE,
+    RETRY_AFTER_TURNED_AWAY, RETRY_SPREAD_DIVISOR,
 };
 use crate::target::Report;
 use crate::{Context, Effect, Output};
@@ -27,6 +28,8 @@
     /// Recent requests and retries of each pool, which limit further retries.
     pub(super) windows: BTreeMap<PoolId, Window>,
     pub(super) hedging: hedge::State,
+    /// Usage of pools by client accounts, and the requests that wait for room.
+    pub(super) rooms: Rooms,
     work: work::State,
 }
 
@@ -81,6 +84,7 @@
     /// Ends all requests because the process ends. Their callers are told that they may
     /// have run; a stream that has begun can only be broken off.
     pub fn end_all(&mut self, ctx: &Context<'_>, out: &mut Output) {
+        self.rooms = Rooms::default();
         let mut pending: Vec<_> = std::mem::take(&mut self.pending).into_iter().collect();
         pending.sort_by_key(|(request, _)| *request);
         for (request, pending) in pending {
@@ -106,11 +110,14 @@
         window.record_request(&step.ctx.me.bounds.retry_budget, step.ctx.at);
         self.hedging.record_request(step.ctx);
         self.pending.insert(arrival.request, pending);
-        self.dispatch(step, arrival.request);
+        match step.ctx.me.features.fair_shares {
+            true => self.enter(step, arrival.request),
+            false => self.dispatch(step, arrival.request),
+        }
     }
 
     /// Sends a request to a target, or refuses it.
-    fn dispatch(&mut self, step: &mut Step<'_, '_>, request: RequestId) {
+    pub(super) fn dispatch(&mut self, step: &mut Step<'_, '_>, request: RequestId) {
         let Some(pending) = self.pending.get_mut(&request) else { return };
         if pending.deadline <= step.ctx.at {
             return self.refuse_pending(step, request, Cause::Late);
@@ -131,9 +138,9 @@
         step.out.log(record::dispatched(step, pending, &choice, &send));
         record_send(step, pending, &choice);
         let work = work::Active { found_queue: choice.has_queue, ..work::Active::default() };
-        let (target, backlog) = (choice.target, choice.unread_tokens);
+        let Choice { target, unread_tokens: backlog, load, .. } = choice;
         let (at, answer_began, is_hedge) = (step.ctx.at, false, false);
-        let active = ActiveSend { id, target, backlog, at, answer_began, is_hedge, work };
+        let active = ActiveSend { id, target, backlog, at, answer_began, is_hedge, load, work };
         pending.active_send = Some(active);
         self.hedging.schedule(step.ctx, pending);
         step.out.push(Effect::Decide { request, decision: Decision::Send(send) });
@@ -177,6 +184,10 @@
         }
         record_end(step, pending, &active, end, report);
         self.work.record_end(step, pending, &active, end);
+        let pool = pending.pool.clone();
+        if step.ctx.me.features.fair_shares {
+            self.rooms.learn(step, pending, &active, end);
+        }
         pending.record_end(&active, end);
         step.out.log(record::ended(step.ctx, pending, &active, end));
         self.hedging.record_end(step.ctx, pending, &active, end);
@@ -185,7 +196,7 @@
         }
         // The other send may still be answered.
         if pending.active_send.is_some() {
-            return;
+            return self.release(step, &pool, 1);
         }
         match self.next_action(step, request, end) {
             Action::Finish => {
@@ -198,6 +209,7 @@
             }
             Action::Refuse(cause) => self.refuse_pending(step, request, cause),
         }
+        self.release(step, &pool, 1);
     }
 
     fn next_action(&mut self, step: &Step<'_, '_>, request: RequestId, end: &End) -> Action {
@@ -235,19 +247,30 @@
     fn handle_caller_left(&mut self, step: &mut Step<'_, '_>, request: RequestId) {
         let Some(pending) = self.pending.remove(&request) else { return };
         step.out.log(record::caller_left(step.ctx, &pending));
+        self.rooms.remove(&pending.pool, request);
+        let mut sends = 0;
         for active in pending.active_sends() {
             remove_send(step, &pending, active);
             self.hedging.record_unanswered(step.ctx, &pending, active);
+            sends += 1;
+        }
+        if 0 < sends {
+            self.release(step, &pending.pool, sends);
         }
     }
 
-    fn refuse_pending(&mut self, step: &mut Step<'_, '_>, request: RequestId, cause: Cause) {
+    pub(super) fn refuse_pending(
+        &mut self,
+        step: &mut Step<'_, '_>,
+        request: RequestId,
+        cause: Cause,
+    ) {
         self.refuse_pending_after(step, request, cause, Span::ZERO);
     }
 
     /// Refuses a request. The caller should wait at least for `wait` before it sends it
     /// again.
-    fn refuse_pending_after(
+    pub(super) fn refuse_pending_after(
         &mut self,
         step: &mut Step<'_, '_>,
         request: RequestId,
@@ -379,6 +402,7 @@
         Cause::NoTarget => RETRY_AFTER_NO_TARGET,
         Cause::Evacuated => RETRY_AFTER_EVACUATED,
         Cause::TurnedAway => RETRY_AFTER_TURNED_AWAY,
+        Cause::NoRoom | Cause::OverShare => RETRY_AFTER_NO_ROOM,
         Cause::NoMemory => RETRY_AFTER_NO_MEMORY,
         Cause::Poison => RETRY_AFTER_POISON,
         _ => return None,
--- a/crates/gateway/tests/all/main.rs
+++ b/crates/gateway/tests/all/main.rs
@@ -21,4 +21,5 @@
 mod room;
 mod start;
 mod target;
+mod waiting;
 mod world;
--- a/crates/gateway/tests/all/random.rs
+++ b/crates/gateway/tests/all/random.rs
@@ -170,6 +170,11 @@
         run_steps(steps, Features::default());
     }
 
+    #[test]
+    fn guarantees_hold_where_requests_wait(steps in prop::collection::vec(step(), 0..240)) {
+        run_steps(steps, Features { fair_shares: true, ..Features::default() });
+    }
+
     #[test]
     fn guarantees_hold_where_requests_are_placed_by_room(
         steps in prop::collection::vec(step(), 0..120),
--- a/crates/gateway/tests/all/world.rs
+++ b/crates/gateway/tests/all/world.rs
@@ -304,6 +304,7 @@
         prompts_sent: 0,
         placements: Vec::new(),
         crashes: Vec::new(),
+        demands: Vec::new(),
     }))
 }
 
--- a/crates/model/src/target.rs
+++ b/crates/model/src/target.rs
@@ -87,13 +87,11 @@
 
     /// Returns its row in the store's registry.
     pub(crate) fn row(&self, status: Status) -> Value {
-        let (Spec::Engine(engine::Spec { slots, .. }) | Spec::Runner(desk::Spec { slots, .. })) =
-            self.spec;
         Value::Target(Row {
             pool: self.pool.clone(),
             address: self.address,
             data_centre: data_centre(self.number),
-            slots,
+            slots: self.slots(),
             status,
             start: None,
             warmup_left: None,
@@ -103,8 +101,7 @@
     /// Returns the load report that it sends with its answers.
     pub(crate) fn report(&self, speeds: &Speeds, now: Moment) -> Report {
         let (running, waiting) = self.load();
-        let (Spec::Engine(engine::Spec { slots, .. }) | Spec::Runner(desk::Spec { slots, .. })) =
-            self.spec;
+        let slots = self.slots();
         let is_runner = matches!(self.spec, Spec::Runner(_));
         let percent = || (self.passing(speeds, now) * 100.0) as u32;
         let work_percent = (speeds.are_stated && is_runner).then(percent);
@@ -119,6 +116,13 @@
         }
     }
 
+    /// Returns the number of requests that it runs concurrently.
+    pub(crate) fn slots(&self) -> u32 {
+        let (Spec::Engine(engine::Spec { slots, .. }) | Spec::Runner(desk::Spec { slots, .. })) =
+            self.spec;
+        slots
+    }
+
     /// Returns the running and waiting jobs.
     pub(crate) fn jobs(&self) -> Vec<u64> {
         match &self.server {
--- a/crates/model/tests/all/main.rs
+++ b/crates/model/tests/all/main.rs
@@ -4,4 +4,5 @@
 mod engine;
 mod hedge;
 mod replay;
+mod share;
 mod uneven;
