--- a/crates/gateway/src/request/hedge.rs
+++ b/crates/gateway/src/request/hedge.rs
@@ -20,7 +20,7 @@
 use super::pending::{ActiveSend, Pending};
 use super::state::{record_send, send};
 use super::view::{Step, View};
-use super::{Decision, End, SendId, record};
+use super::{Decision, End, SendId, record, work};
 use crate::limit::{
     HEDGE_LOG_INTERVAL, HEDGE_RETRY_INTERVAL, MAX_HEDGE_CANDIDATES, MAX_HEDGE_CHECKS,
     MAX_HEDGE_REREAD_TOKENS,
@@ -152,6 +152,7 @@
         let other = pending.active_sends().find(|send| send.id != winner.id).map(|send| send.id);
         let Some(cancelled) = other.and_then(|id| pending.take_send(id)) else { return };
         step.view.targets.remove_request(&cancelled.target, cancelled.backlog);
+        step.view.targets.remove_memory(&cancelled.target, pending.memory);
         step.out.log(record::cancelled(step.ctx, pending, &cancelled, winner));
         self.record_unanswered(step.ctx, pending, &cancelled);
         pending.attempts += 1;
@@ -251,11 +252,13 @@
         self.hedging.window.withdraw(&bounds.hedge, ctx.at);
         let (target, backlog) = (choice.target.clone(), choice.unread_tokens);
         let (at, answer_began, is_hedge) = (ctx.at, false, true);
-        let hedge = ActiveSend { id, target, backlog, at, answer_began, is_hedge };
+        let work = work::Active { found_queue: choice.has_queue, ..work::Active::default() };
+        let hedge = ActiveSend { id, target, backlog, at, answer_began, is_hedge, work };
         let late_after = condition.late_after.unwrap_or_default();
         step.out.log(record::hedged(ctx, pending, &first, &hedge, late_after));
         step.out.log(record::dispatched(step, pending, &choice, &send));
         record_send(step, pending, &choice);
+        step.view.targets.add_memory(&choice.target, pending.memory);
         pending.hedge = Some(hedge);
         step.out.push(Effect::Decide { request, decision: Decision::Send(send) });
     }
--- a/crates/gateway/src/request/mod.rs
+++ b/crates/gateway/src/request/mod.rs
@@ -10,12 +10,15 @@
 mod admit;
 mod choice;
 mod event;
+pub mod explain;
 mod hedge;
 mod pending;
+mod placement;
 mod record;
 mod refusal;
 mod state;
 mod view;
+mod work;
 
 pub use event::{Arrival, Decision, End, Event, Send, SendId};
 pub use refusal::{Cause, Refusal};
--- a/crates/gateway/src/request/refusal.rs
+++ b/crates/gateway/src/request/refusal.rs
@@ -21,6 +21,10 @@
     Evacuated,
     /// The targets turned it away.
     TurnedAway,
+    /// No engine has memory for it now.
+    NoMemory,
+    /// It is larger than the memory of each engine.
+    TooLarge,
     /// It crashes the targets that run it.
     Poison,
     /// It was sent, and it is unknown whether it ran.
@@ -56,6 +60,8 @@
             Self::NoTarget => "no_target",
             Self::Evacuated => "evacuated",
             Self::TurnedAway => "turned_away",
+            Self::NoMemory => "no_memory",
+            Self::TooLarge => "too_large",
             Self::Poison => "poison",
             Self::Unknown => "unknown",
             Self::Late => "late",
@@ -74,6 +80,8 @@
             Self::NoTarget => "no target can be reached now: retry later",
             Self::Evacuated => "operators evacuate all targets that could run it: retry later",
             Self::TurnedAway => "the targets have no capacity now: retry later",
+            Self::NoMemory => "no engine has memory for the request now: retry later",
+            Self::TooLarge => "the prompt exceeds the memory of the engines: shorten it",
             Self::Poison => "this request crashes the targets that run it: change the request",
             Self::Unknown => "the target may have run the request: check before repeating it",
             Self::Late => "the deadline passed before the request was sent: allow more time",
--- a/crates/gateway/src/request/state.rs
+++ b/crates/gateway/src/request/state.rs
@@ -7,13 +7,15 @@
 
 use super::admit::admit;
 use super::choice::{Choice, Denied, answer_deadline, choose};
+use super::explain::{self, Answer, Question};
 use super::hedge;
 use super::pending::{ActiveSend, Pending};
 use super::view::{Step, View};
-use super::{Arrival, Cause, Decision, End, Event, Refusal, Send, SendId, record};
+use super::{Arrival, Cause, Decision, End, Event, Refusal, Send, SendId, record, work};
 use crate::limit::{
-    MAX_UNREACHED, RETRY_AFTER_EVACUATED, RETRY_AFTER_LEAVING, RETRY_AFTER_NO_TARGET,
-    RETRY_AFTER_POISON, RETRY_AFTER_STALE, RETRY_AFTER_TURNED_AWAY, RETRY_SPREAD_DIVISOR,
+    MAX_UNREACHED, RETRY_AFTER_EVACUATED, RETRY_AFTER_LEAVING, RETRY_AFTER_NO_MEMORY,
+    RETRY_AFTER_NO_TARGET, RETRY_AFTER_POISON, RETRY_AFTER_STALE, RETRY_AFTER_TURNED_AWAY,
+    RETRY_SPREAD_DIVISOR,
 };
 use crate::target::Report;
 use crate::{Context, Effect, Output};
@@ -25,6 +27,7 @@
     /// Recent requests and retries of each pool, which limit further retries.
     pub(super) windows: BTreeMap<PoolId, Window>,
     pub(super) hedging: hedge::State,
+    pub(super) work: work::State,
 }
 
 /// What to do after a send has ended.
@@ -58,11 +61,23 @@
         match event {
             Event::Arrived(arrival) => self.handle_arrival(step, &arrival),
             Event::AnswerBegan { id, report } => self.handle_answer_began(step, id, report),
+            Event::Streamed { id, events } => {
+                let pending = self.pending.get_mut(&id.request);
+                if let Some(active) = pending.and_then(|it| it.send_mut(id)) {
+                    active.work.events = Some(events);
+                }
+            }
             Event::SendEnded { id, end, report } => self.handle_send_ended(step, id, &end, report),
             Event::CallerLeft(request) => self.handle_caller_left(step, request),
         }
     }
 
+    /// Explains where a request would go now. Changes nothing.
+    pub fn explain(ctx: &Context<'_>, view: &mut View<'_>, question: &Question) -> Answer {
+        let step = Step { ctx, view, out: &mut Output::default() };
+        explain::answer(&step, question)
+    }
+
     /// Ends all requests because the process ends. Their callers are told that they may
     /// have run; a stream that has begun can only be broken off.
     pub fn end_all(&mut self, ctx: &Context<'_>, out: &mut Output) {
@@ -80,10 +95,13 @@
     }
 
     fn handle_arrival(&mut self, step: &mut Step<'_, '_>, arrival: &Arrival) {
-        let pending = match admit(step, arrival) {
+        let mut pending = match admit(step, arrival) {
             Ok(pending) => pending,
             Err(cause) => return refuse(step, arrival, cause, Span::ZERO),
         };
+        if step.ctx.me.features.room {
+            pending.memory = self.work.expected_memory(&pending);
+        }
         let window = self.windows.entry(pending.pool.clone()).or_default();
         window.record_request(&step.ctx.me.bounds.retry_budget, step.ctx.at);
         self.hedging.record_request(step.ctx);
@@ -102,22 +120,21 @@
         }
         let choice = match choose(step, pending) {
             Ok(choice) => choice,
-            Err(Denied::NoTarget) => {
-                return self.refuse_pending(step, request, Cause::NoTarget);
-            }
-            Err(Denied::Evacuated) => {
-                return self.refuse_pending(step, request, Cause::Evacuated);
+            Err(denied) => {
+                let (cause, wait) = denial(denied, step.ctx.at);
+                return self.refuse_pending_after(step, request, cause, wait);
             }
-            Err(Denied::Limited(until)) => return self.refuse_until(step, request, until),
         };
         pending.sends += 1;
         let id = SendId { request, number: pending.sends };
         let Some(send) = send(step, pending, &choice, id) else { return };
         step.out.log(record::dispatched(step, pending, &choice, &send));
         record_send(step, pending, &choice);
+        step.view.targets.add_memory(&choice.target, pending.memory);
+        let work = work::Active { found_queue: choice.has_queue, ..work::Active::default() };
         let (target, backlog) = (choice.target, choice.unread_tokens);
         let (at, answer_began, is_hedge) = (step.ctx.at, false, false);
-        let active = ActiveSend { id, target, backlog, at, answer_began, is_hedge };
+        let active = ActiveSend { id, target, backlog, at, answer_began, is_hedge, work };
         pending.active_send = Some(active);
         self.hedging.schedule(step.ctx, pending);
         step.out.push(Effect::Decide { request, decision: Decision::Send(send) });
@@ -127,6 +144,7 @@
         let Some(pending) = self.pending.get_mut(&id.request) else { return };
         let Some(active) = pending.send_mut(id) else { return };
         active.answer_began = true;
+        active.work.began_at = Some(step.ctx.at);
         let backlog = std::mem::take(&mut active.backlog);
         let active = active.clone();
         pending.has_begun = true;
@@ -153,12 +171,14 @@
         let Some(pending) = self.pending.get_mut(&request) else { return };
         let Some(active) = pending.take_send(id) else { return };
         step.view.targets.remove_request(&active.target, active.backlog);
+        step.view.targets.remove_memory(&active.target, pending.memory);
         if let Some(report) = report {
             let ok = matches!(end, End::Complete { ok: true });
             let vms = step.view.peers.fleet_size();
             step.view.targets.set_report(step.ctx, &active.target, report, ok, vms, step.out);
         }
         record_end(step, pending, &active, end, report);
+        self.work.record_end(step, pending, &active, end);
         pending.record_end(&active, end);
         step.out.log(record::ended(step.ctx, pending, &active, end));
         self.hedging.record_end(step.ctx, pending, &active, end);
@@ -220,16 +240,10 @@
         for active in pending.active_sends() {
             step.view.targets.remove_request(&active.target, active.backlog);
             self.hedging.record_unanswered(step.ctx, &pending, active);
+            step.view.targets.remove_memory(&active.target, pending.memory);
         }
     }
 
-    /// Refuses a request because all targets have reached the limits that they name, until
-    /// `permitted_at`.
-    fn refuse_until(&mut self, step: &mut Step<'_, '_>, request: RequestId, permitted_at: Moment) {
-        let wait = permitted_at.since(step.ctx.at);
-        self.refuse_pending_after(step, request, Cause::TurnedAway, wait);
-    }
-
     fn refuse_pending(&mut self, step: &mut Step<'_, '_>, request: RequestId, cause: Cause) {
         self.refuse_pending_after(step, request, cause, Span::ZERO);
     }
@@ -340,15 +354,28 @@
     step.out.push(Effect::Decide { request: arrival.request, decision: Decision::Refuse(refusal) });
 }
 
+/// Returns why a request that no target can get is refused, and how long its caller
+/// should wait at least.
+pub(super) fn denial(denied: Denied, now: Moment) -> (Cause, Span) {
+    match denied {
+        Denied::NoTarget => (Cause::NoTarget, Span::ZERO),
+        Denied::Evacuated => (Cause::Evacuated, Span::ZERO),
+        Denied::NoMemory => (Cause::NoMemory, Span::ZERO),
+        Denied::TooLarge => (Cause::TooLarge, Span::ZERO),
+        Denied::Limited(until) => (Cause::TurnedAway, until.since(now)),
+    }
+}
+
 /// Returns how long the caller should wait, at least for `wait`, randomized so that
 /// callers do not all return at once.
-fn retry_after(cause: Cause, wait: Span, entropy: u64) -> Option<Span> {
+pub(super) fn retry_after(cause: Cause, wait: Span, entropy: u64) -> Option<Span> {
     let base = match cause {
         Cause::NotReady | Cause::Stale => RETRY_AFTER_STALE,
         Cause::Leaving => RETRY_AFTER_LEAVING,
         Cause::NoTarget => RETRY_AFTER_NO_TARGET,
         Cause::Evacuated => RETRY_AFTER_EVACUATED,
         Cause::TurnedAway => RETRY_AFTER_TURNED_AWAY,
+        Cause::NoMemory => RETRY_AFTER_NO_MEMORY,
         Cause::Poison => RETRY_AFTER_POISON,
         _ => return None,
     };
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -12,6 +12,7 @@
 use briarshift_wire::holding::Holdings;
 
 use crate::peer::Outgoing;
+use crate::request::explain::{Answer, Question};
 use crate::status::Status;
 use crate::sync::Update;
 use crate::{
@@ -68,6 +69,15 @@
         &self.targets
     }
 
+    /// Explains where a request would go now. Changes nothing; `entropy` draws between
+    /// equally good targets.
+    pub fn explain(&mut self, now: Moment, entropy: u64, question: &Question) -> Answer {
+        let me = Arc::clone(&self.me);
+        let ctx = Context { at: now, entropy, me: &me };
+        let (_, mut view) = self.requests_and_view(&ctx);
+        request::State::explain(&ctx, &mut view, question)
+    }
+
     /// Applies one event and returns the resulting effects, in order.
     pub fn apply(&mut self, event: Event) -> Vec<Effect> {
         let me = Arc::clone(&self.me);
@@ -98,6 +108,7 @@
         self.targets.tick_evacuations(ctx, &self.peers, out);
         let confirmed_at = self.sync.freshness().confirmed_at();
         self.targets.tick_cold(ctx, &self.peers, confirmed_at, out);
+        self.targets.tick_speeds(ctx, &self.peers, out);
         self.poison.tick(ctx, &self.peers, out);
         self.cache.tick(ctx.at);
         self.hedge_requests(ctx, out);
@@ -170,19 +181,19 @@
     }
 
     fn handle_request(&mut self, ctx: &Context<'_>, event: request::Event, out: &mut Output) {
-        let (requests, mut view) = self.view(ctx);
+        let (requests, mut view) = self.requests_and_view(ctx);
         requests.apply(ctx, &mut view, event, out);
     }
 
     /// Sends late requests a second time.
     fn hedge_requests(&mut self, ctx: &Context<'_>, out: &mut Output) {
         let is_draining = !self.drain.is_running();
-        let (requests, mut view) = self.view(ctx);
+        let (requests, mut view) = self.requests_and_view(ctx);
         requests.tick_hedges(ctx, &mut view, is_draining, out);
     }
 
-    /// Returns the requests, and what they see of the other components.
-    fn view(&mut self, ctx: &Context<'_>) -> (&mut request::State, request::View<'_>) {
+    /// Returns the requests, and what the other components know.
+    fn requests_and_view(&mut self, ctx: &Context<'_>) -> (&mut request::State, request::View<'_>) {
         let view = request::View {
             catalog: self.sync.catalog(),
             freshness: self.sync.freshness(),
@@ -237,6 +248,11 @@
                     self.targets.receive_evacuations(ctx, &report, out);
                 }
             }
+            Datagram::SpeedReport(report) => {
+                if self.peers.address(&report.from).is_some() {
+                    self.targets.receive_speeds(ctx, &report);
+                }
+            }
             Datagram::SyncRequest(request) => {
                 if let Some(address) = self.peers.address(&request.from) {
                     self.sync.handle_request(ctx, &request, address, out);
--- a/crates/gateway/src/target/mod.rs
+++ b/crates/gateway/src/target/mod.rs
@@ -8,8 +8,11 @@
 mod cold;
 mod data_centre;
 mod evacuation;
+mod exclusion;
 mod leaving;
 mod limit;
+mod room;
+mod speed;
 
 use std::collections::{BTreeMap, HashMap};
 
@@ -57,6 +60,9 @@
     pub waiting: u32,
     /// Requests that it can run at the same time.
     pub slots: u32,
+    /// How long work takes on its machine at this moment, in percent of the usual, if it
+    /// states that.
+    pub work_percent: Option<u32>,
 }
 
 /// A request that was interrupted at a target.
@@ -94,6 +100,13 @@
     pub requests: u32,
     /// Prompt tokens of these requests that the target has still to read.
     pub backlog: u64,
+    /// Memory that these requests are expected to need, in tokens.
+    memory: u64,
+    /// Largest number of waiting requests that it has stated, once it has turned a request
+    /// away while others waited.
+    queue: Option<u32>,
+    /// How fast it works.
+    speed: speed::Speed,
     /// Health, judged by the target's answers.
     pub health: Health,
     version: Version,
@@ -127,6 +140,9 @@
             hash: TargetHash::of(id.as_str()),
             requests: 0,
             backlog: 0,
+            memory: 0,
+            queue: None,
+            speed: speed::Speed::default(),
             health: Health::default(),
             version,
             reported_load: None,
@@ -236,6 +252,9 @@
     /// Targets that have said that they leave.
     left: BTreeMap<TargetId, leaving::Left>,
     leaving_news: News<Leaving>,
+    /// A target has stated its speed.
+    states_speed: bool,
+    speed_news: speed::News,
 }
 
 impl State {
@@ -326,8 +345,9 @@
         if entry.target.start != target.start || entry.target.address != target.address {
             crashes.extend(entry.take_crashes(ctx.at));
             out.push(Effect::CloseConnections(entry.target.address));
-            let (requests, backlog) = (entry.requests, entry.backlog);
-            *entry = Entry { requests, backlog, ..Entry::new(id, target.clone(), row.version) };
+            let (requests, backlog, memory) = (entry.requests, entry.backlog, entry.memory);
+            let new = Entry::new(id, target.clone(), row.version);
+            *entry = Entry { requests, backlog, memory, ..new };
             entry.start_cold(id, &self.cold, ctx.at, out);
             entry.left_at = self.left.get(id).and_then(|left| left.since(target));
             if entry.left_at.is_none() {
@@ -397,7 +417,7 @@
 
     /// Returns the targets of a pool that may get a request, except those in
     /// `tried` and those that a limit, a pause or coldness holds back. Targets of a data
-    /// centre that has been taken back are left out for a while if there are others. Targets
+    /// centre that has been taken back are left out for a while if others have room. Targets
     /// whose registration ended while the store was failing, and those that have just begun
     /// to leave, are returned only if the pool has no others, even if these have been tried or
     /// are held back.
@@ -418,9 +438,16 @@
             true => entry.is_ready(now),
             false => entry.is_last_resort(now),
         };
-        let mut usable: Vec<_> = self.entries.iter().filter(of_pool).filter(is_usable).collect();
+        let usable = self.entries.iter().filter(of_pool).filter(is_usable);
+        if !self.evacuations.has_readmission() {
+            return usable.map(candidate).collect();
+        }
+        let mut usable: Vec<_> = usable.collect();
         let is_readmitted = |(_, entry): &(&TargetId, &Entry)| entry.is_readmitted(query);
-        if usable.iter().any(|it| is_readmitted(it) && self.is_healthy(it.1, now)) {
+        let has_room = |(_, entry): &(&TargetId, &Entry)| {
+            self.is_healthy(entry, now) && entry.load(query).0 < entry.target.slots
+        };
+        if usable.iter().any(|it| is_readmitted(it) && has_room(it)) {
             usable.retain(is_readmitted);
         }
         usable.into_iter().map(candidate).collect()
@@ -488,6 +515,8 @@
         let Some(entry) = self.entries.get_mut(id) else { return };
         if let Some(load) = report.load {
             entry.reported_load = Some((load, ctx.at));
+            entry.speed.set_stated(load.work_percent, ctx.at);
+            self.states_speed |= load.work_percent.is_some();
         }
         if let Some(wait) = report.pause {
             let pause = Pause::new(wait, ctx.at, ctx.entropy);
@@ -577,6 +606,7 @@
             target: entry.hash,
             requests: entry.requests,
             backlog: entry.backlog,
+            memory: entry.memory,
         })
         .collect()
     }
--- a/crates/model/src/fleet/mod.rs
+++ b/crates/model/src/fleet/mod.rs
@@ -147,11 +147,18 @@
 
     /// Adds a target and registers it in the store.
     fn add_target(&mut self, is_engine: bool) {
-        let spec = match is_engine {
-            true => Spec::Engine(self.scenario.engines.1),
-            false => Spec::Runner(self.scenario.runners.1),
+        let Scenario { engines, runners, speeds, .. } = self.scenario;
+        let pool = pool(is_engine);
+        let place = self.targets.iter().filter(|target| target.pool == pool).count();
+        let by_turns = |speeds: &[f64]| speeds[place % speeds.len()];
+        let (spec, lasting) = match is_engine {
+            true => {
+                let lasting = by_turns(speeds.engines);
+                (Spec::Engine(engines.1.slowed(lasting)), lasting)
+            }
+            false => (Spec::Runner(runners.1), by_turns(speeds.runners)),
         };
-        let target = Target::new(self.targets.len(), &pool(is_engine), spec);
+        let target = Target::new(self.targets.len(), &pool, spec, lasting);
         self.store.put(Name::Target(target.id.clone()), Some(target.row(Status::Ready)));
         self.targets.push(target);
     }
--- a/crates/model/src/fleet/vm.rs
+++ b/crates/model/src/fleet/vm.rs
@@ -5,7 +5,7 @@
 
 use briarshift_catalog::{Catalog, Engine as EngineSpec, Pool, Route};
 use briarshift_gateway::request::Decision;
-use briarshift_gateway::{Bounds, Effect, Event, Features, Identity, Kind};
+use briarshift_gateway::{Bounds, Effect, Event, Identity, Kind};
 use briarshift_routing::retry_window::Budget;
 use briarshift_routing::selection::Bound;
 use briarshift_store::registry::Secret;
@@ -68,7 +68,7 @@
             grace: Span::from_secs(8),
             hedge: scenario.hedge,
         },
-        features: Features::default(),
+        features: scenario.features,
     }
 }
 
--- a/crates/model/src/results.rs
+++ b/crates/model/src/results.rs
@@ -52,6 +52,13 @@
     pub overloaded_sends: u64,
     /// Number of second sends of late requests.
     pub hedges: u64,
+    /// Number of sends after which the requests on an engine needed more memory than it has.
+    pub overfull_sends: u64,
+    /// Number of sends to desk runners.
+    pub runner_sends: u64,
+    /// Number of those that reached a runner with a load above twice the pool's mean plus
+    /// three.
+    pub overloaded_runner_sends: u64,
     /// Number of calls to the store.
     pub store_calls: u64,
 }
--- a/crates/model/tests/all/main.rs
+++ b/crates/model/tests/all/main.rs
@@ -4,3 +4,4 @@
 mod engine;
 mod hedge;
 mod replay;
+mod uneven;
