--- a/crates/gateway/src/request/explain.rs
+++ b/crates/gateway/src/request/explain.rs
@@ -49,6 +49,9 @@
     pub priority: Option<u8>,
     /// Tokens of its prompt.
     pub prompt_tokens: u64,
+    /// Requests of this VM that wait for room in the pool. While some do, the request may
+    /// have to wait behind them, or be turned away.
+    pub waiting: usize,
     /// What would happen.
     pub outcome: Outcome,
     /// Targets that could get it.
@@ -131,6 +134,7 @@
             pool: None,
             priority: None,
             prompt_tokens: 0,
+            waiting: 0,
             outcome,
             candidates: Vec::new(),
             passed_over: Vec::new(),
@@ -173,6 +177,7 @@
         route: Some(pending.route.id.clone()),
         priority: Some(pending.priority()),
         prompt_tokens: pending.prompt_tokens(),
+        waiting: 0,
         pool: Some(pending.pool),
         outcome,
         candidates,
--- a/crates/gateway/src/request/state.rs
+++ b/crates/gateway/src/request/state.rs
@@ -76,9 +76,11 @@
     }
 
     /// Explains where a request would go now. Changes nothing.
-    pub fn explain(ctx: &Context<'_>, view: &mut View<'_>, question: &Question) -> Answer {
+    pub fn explain(&self, ctx: &Context<'_>, view: &mut View<'_>, question: &Question) -> Answer {
         let step = Step { ctx, view, out: &mut Output::default() };
-        explain::answer(&step, question)
+        let answer = explain::answer(&step, question);
+        let pool = answer.pool.as_ref().and_then(|id| self.rooms.pools.get(id));
+        Answer { waiting: pool.map_or(0, |pool| pool.queue.len()), ..answer }
     }
 
     /// Ends all requests because the process ends. Their callers are told that they may
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -75,8 +75,8 @@
     pub fn explain(&mut self, now: Moment, entropy: u64, question: &Question) -> Answer {
         let me = Arc::clone(&self.me);
         let ctx = Context { at: now, entropy, me: &me };
-        let (_, mut view) = self.requests_and_view(&ctx);
-        request::State::explain(&ctx, &mut view, question)
+        let (requests, mut view) = self.requests_and_view(&ctx);
+        requests.explain(&ctx, &mut view, question)
     }
 
     /// Applies one event and returns the resulting effects, in order.
--- a/src/commands/explain.rs
+++ b/src/commands/explain.rs
@@ -103,6 +103,9 @@
         let tokens = answer.prompt_tokens;
         lines.push(format!("route {route}, pool {pool}, priority {priority}, {tokens} tokens"));
     }
+    if 0 < answer.waiting {
+        lines.push(format!("{} requests of this VM wait for room in the pool", answer.waiting));
+    }
     if !answer.candidates.is_empty() {
         lines.push(format!(
             "{:<24} {:>6} {:>6} {:>9} {:>9} {:>6}  state",
