--- a/crates/daemon/src/gateway/task.rs
+++ b/crates/daemon/src/gateway/task.rs
@@ -210,9 +210,9 @@
         response::refusal(refusal, self.shared.is_draining())
     }
 
-    /// Makes one attempt and returns it with its result. If the request may not be repeated, the attempt runs in a
-    /// separate task, which continues after the caller left; otherwise the attempt is
-    /// cancelled when the caller leaves.
+    /// Makes one attempt and returns it with its result. If the request may not be repeated,
+    /// the attempt runs in a separate task, which continues after the caller left; otherwise
+    /// the attempt is cancelled when the caller leaves.
     async fn attempt_to_end(
         this: &Rc<Self>,
         job: &Rc<Job>,
