--- a/review/standin-2/run-case.sh
+++ b/review/standin-2/run-case.sh
@@ -10,8 +10,8 @@
 case=$PWD/target/review-2/$name
 [ -x "$program" ] && [ -x "$case" ] || exit 2
 # The clients of one case hold some thousand connections.
-if [ "$(ulimit -Sn)" != unlimited ] && [ "$(ulimit -Sn)" -lt 9000 ]; then
-  ulimit -Sn 9000 2>/dev/null || ulimit -Sn "$(ulimit -Hn)"
+if [ "$(ulimit -Sn)" != unlimited ] && [ "$(ulimit -Sn)" -lt 13000 ]; then
+  ulimit -Sn 13000 2>/dev/null || ulimit -Sn "$(ulimit -Hn)"
 fi
 folder=$(mktemp -d) || exit 2
 end() {
