Confirm a configuration only if the store holds it

Cause: a configuration that can't be decoded was logged, and the read that brought it confirmed the configuration in force all the same, which renews the time for which keys may be used.

The test a_configuration_that_cannot_be_used_does_not_confirm_ the_one_before fails there (the request is sent), as does the_next_configuration_that_can_be_used_is_confirmed (nothing in the log).

Change: a read confirms only if the store's configuration is the one in force; not if it is unusable, older or deleted. How recent the rows are is kept apart (read_at), or all VMs would read the store themselves as soon as their delegates' configuration is not confirmed.

Why it works: requests with keys are refused once the last confirmation is too old, whatever replaced the configuration.

--- a/crates/gateway/src/peer/mod.rs
+++ b/crates/gateway/src/peer/mod.rs
@@ -41,8 +41,8 @@
 pub struct Outgoing {
     /// Revision of the configuration in force on this VM.
     pub revision: Revision,
-    /// When the configuration was last confirmed to be the newest.
-    pub confirmed: Option<Moment>,
+    /// When the operators' rows were last known to be the newest.
+    pub read_at: Option<Moment>,
     /// This VM's loads at targets.
     pub loads: Vec<Load>,
     /// Targets that failed since the last heartbeat.
@@ -265,7 +265,7 @@
             start: ctx.me.start,
             sequence: self.sequence,
             revision: outgoing.revision,
-            revision_age: outgoing.confirmed.map(|at| ctx.at.since(at)),
+            revision_age: outgoing.read_at.map(|at| ctx.at.since(at)),
             loads: outgoing.loads,
             failures: outgoing.failures,
             prompts_sent: outgoing.prompts_sent,
@@ -361,8 +361,8 @@
         Ranking::new(&me.vm, peers.chain([(me.vm.clone(), me.link)]).collect())
     }
 
-    /// Returns the peer of any data centre whose configuration was confirmed
-    /// last, if it is at most `max_age` old.
+    /// Returns the peer of any data centre whose rows of operators were known to be the
+    /// newest last, if that is at most `max_age` ago.
     pub fn freshest(&self, now: Moment, max_age: Span) -> Option<(VmId, SocketAddr)> {
         let age = |peer: &Peer| -> Option<Span> {
             let latest = peer.latest.as_ref()?;
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -110,8 +110,7 @@
         self.targets.tick_limits(ctx, &self.peers, out);
         self.targets.tick_leaving(ctx, &self.peers, out);
         self.targets.tick_evacuations(ctx, &self.peers, out);
-        let confirmed_at = self.sync.freshness().confirmed_at();
-        self.targets.tick_cold(ctx, &self.peers, confirmed_at, out);
+        self.targets.tick_cold(ctx, &self.peers, self.sync.read_at(), out);
         self.targets.tick_speeds(ctx, &self.peers, out);
         self.poison.tick(ctx, &self.peers, out);
         self.cache.tick(ctx.at);
@@ -129,7 +128,7 @@
             }
             let outgoing = Outgoing {
                 revision: self.sync.catalog().map(|catalog| catalog.revision()).unwrap_or_default(),
-                confirmed: self.sync.freshness().confirmed_at(),
+                read_at: self.sync.read_at(),
                 loads: self.targets.loads(),
                 failures: self.targets.take_failures(ctx.at),
                 prompts_sent: self.cache.prompts_sent(),
--- a/crates/gateway/src/sync/mod.rs
+++ b/crates/gateway/src/sync/mod.rs
@@ -17,6 +17,12 @@
 //!
 //! The configuration never goes back: an older version is logged and ignored,
 //! whichever reply it comes with.
+//!
+//! A read confirms the configuration in force only if that is the one the store
+//! holds. If the store holds one that can't be decoded, or an older one, keys may
+//! have been revoked that this VM can't know of. Requests with keys are then
+//! refused once the last confirmation is too old. The VM still tells its peers how
+//! recent its rows are, so that they don't all read the store.
 
 mod journal;
 mod lease;
@@ -105,6 +111,12 @@
     /// the confirmation of the configuration if only that was read since.
     rows: RowsAge,
     freshness: Freshness,
+    /// When the operators' rows were last known to be the newest, whether or not the
+    /// configuration among them can be used.
+    read_at: Option<Moment>,
+    /// The store holds another configuration than the one in force, so that reads
+    /// don't confirm that one.
+    is_superseded: bool,
     pace: Pace,
     secret: Option<Secret>,
     registration: Registration,
@@ -145,6 +157,8 @@
             version: None,
             rows: RowsAge::default(),
             freshness: Freshness::new(bounds.key_age),
+            read_at: None,
+            is_superseded: false,
             pace: Pace::new(bounds.change, bounds.key_age),
             secret: None,
             registration: Registration::default(),
@@ -174,6 +188,12 @@
         &self.freshness
     }
 
+    /// Returns when the operators' rows were last known to be the newest, whether or
+    /// not the configuration among them can be used.
+    pub fn read_at(&self) -> Option<Moment> {
+        self.read_at
+    }
+
     /// Applies changed bounds.
     pub fn set_bounds(&mut self, bounds: &Bounds) {
         self.freshness.set_max_age(bounds.key_age);
@@ -345,14 +365,12 @@
         address: SocketAddr,
         out: &mut Output,
     ) {
-        let (Some(version), Some(confirmed)) = (self.version, self.freshness.confirmed_at()) else {
-            return;
-        };
+        let (Some(version), Some(read_at)) = (self.version, self.read_at) else { return };
         let response = Response {
             from: ctx.me.vm.clone(),
             request_sent_at: request.sent_at,
             version: version.0,
-            age: ctx.at.since(confirmed),
+            age: ctx.at.since(read_at),
             rows_age: self.rows.certain().map(|at| ctx.at.since(at)),
             store_failing: self.is_store_failing(ctx.at),
             rows: self.journal.changes_after(Version(request.after)),
@@ -536,8 +554,10 @@
     ) -> Vec<Row> {
         let rows = self.journal.apply(rows, snapshot, self.version, version);
         for row in &rows {
+            if row.name == Name::Catalog {
+                self.follow_catalog(row, out);
+            }
             match (&row.name, &row.value) {
-                (Name::Catalog, Some(Value::Catalog(catalog))) => self.adopt_catalog(catalog, out),
                 (Name::Secret, Some(Value::Secret(secret)))
                     if self.secret.as_ref() != Some(secret) =>
                 {
@@ -553,13 +573,48 @@
             }
         }
         self.version = Some(version);
-        if let Some(confirmed) = confirmed.filter(|_| self.catalog.is_some()) {
-            self.freshness.confirm(confirmed);
-            self.unconfirmed = false;
+        if let Some(confirmed) = confirmed {
+            self.confirm(confirmed);
         }
         rows
     }
 
+    /// Records that the operators' rows were the newest at a time.
+    fn confirm(&mut self, at: Moment) {
+        if self.catalog.is_none() && !self.is_superseded {
+            return;
+        }
+        self.unconfirmed = false;
+        self.read_at = self.read_at.max(Some(at));
+        if !self.is_superseded {
+            self.freshness.confirm(at);
+        }
+    }
+
+    /// Adopts the store's configuration, if it can be used and is newer than the one in
+    /// force.
+    fn follow_catalog(&mut self, row: &Row, out: &mut Output) {
+        let stored = match &row.value {
+            Some(Value::Catalog(catalog)) => {
+                self.adopt_catalog(catalog, out);
+                Some(catalog.revision())
+            }
+            _ => None,
+        };
+        let in_force = self.catalog.as_ref().map(|catalog| catalog.revision());
+        let was_superseded = std::mem::replace(&mut self.is_superseded, stored != in_force);
+        if was_superseded == self.is_superseded {
+            return;
+        }
+        let event = if self.is_superseded { "catalog_superseded" } else { "catalog_confirmed" };
+        let line = Record::new(event).with("version", row.version.0);
+        let line = line.with("in_force", in_force.unwrap_or_default());
+        out.log(match stored {
+            Some(revision) => line.with("stored", revision),
+            None => line.with("stored", "unusable"),
+        });
+    }
+
     fn adopt_catalog(&mut self, catalog: &Arc<Catalog>, out: &mut Output) {
         let known = self.catalog.as_ref().map(|catalog| catalog.revision());
         if known.is_some_and(|known| catalog.revision() <= known) {
--- a/crates/gateway/src/target/cold.rs
+++ b/crates/gateway/src/target/cold.rs
@@ -324,13 +324,13 @@
         }
     }
 
-    /// Ends or begins this VM's turns at cold targets. `confirmed_at` is when this VM last
-    /// knew the newest configuration.
+    /// Ends or begins this VM's turns at cold targets. `read_at` is when this VM last
+    /// knew the operators' newest rows.
     pub fn tick_cold(
         &mut self,
         ctx: &Context<'_>,
         peers: &peer::State,
-        confirmed_at: Option<Moment>,
+        read_at: Option<Moment>,
         out: &mut Output,
     ) {
         if self.cold.slow_starts.is_empty() {
@@ -338,7 +338,7 @@
         }
         let is_settled =
             self.cold.known_since.is_some_and(|at| COLD_START_WAIT <= ctx.at.since(at));
-        let is_in_touch = confirmed_at.is_some_and(|at| ctx.at.since(at) < MAX_FEEDER_AGE);
+        let is_in_touch = read_at.is_some_and(|at| ctx.at.since(at) < MAX_FEEDER_AGE);
         self.cold.membership.observe(peers, is_settled && is_in_touch, ctx.at);
         self.ignore_lost();
         let shared = &self.cold;
--- a/crates/gateway/tests/all/main.rs
+++ b/crates/gateway/tests/all/main.rs
@@ -2,6 +2,7 @@
 
 mod changes;
 mod cold;
+mod configuration;
 mod delegate;
 mod drain;
 mod evacuation;
--- a/crates/wire/src/heartbeat.rs
+++ b/crates/wire/src/heartbeat.rs
@@ -82,8 +82,8 @@
     pub sequence: u64,
     /// Revision of the configuration in force at the sender.
     pub revision: Revision,
-    /// Time since this revision was known to be the newest; `None` if the
-    /// store has not confirmed it yet.
+    /// Time since the sender's rows of operators were known to be the newest; `None`
+    /// if they never were.
     pub revision_age: Option<Span>,
     /// Loads of the targets that have requests of the sender.
     pub loads: Vec<Load>,
