Acquit requests that targets answer in full

What callers saw: a request that callers repeat was refused for two minutes after three crashes of targets, although targets answered it in between.

Cause: the crashes of a routed request were only forgotten with time.

Change: a whole answer of success clears a request's crashes here and, by the crash report, at the peers.

Why it works: a request that crashes all that run it has no such answer.

--- a/crates/gateway/src/poison.rs
+++ b/crates/gateway/src/poison.rs
@@ -4,7 +4,8 @@
 //! body. Each start of a target that crashed while it ran the request counts once,
 //! whichever VM noticed it, because VMs exchange crashes in heartbeats. A
 //! request with enough crashes is refused by all VMs, even if its pool has fewer
-//! targets than that.
+//! targets than that. A whole answer shows that the request is sound and that its
+//! targets crashed for another reason, so the crashes before it no longer count.
 //!
 //! Parts are found by [`briarshift_routing::blame`]. VMs exchange the crashes and
 //! answers that it judges by in reports of their own, at once.
@@ -58,6 +59,7 @@
 enum Item {
     Crash(PromptCrash),
     Cleared(PartId),
+    Answered(Fingerprint),
 }
 
 impl State {
@@ -105,6 +107,25 @@
         }
     }
 
+    /// Records that a request was answered in full, which shows that it crashes no target.
+    pub fn record_completion(&mut self, arrival: &Arrival, out: &mut Output) {
+        let request = arrival.fingerprint;
+        if self.acquit(request, arrival.attempt.as_str(), out) {
+            self.news.add(Item::Answered(request));
+        }
+    }
+
+    /// Forgets the crashes of a request that `source` saw answered. Returns true if there
+    /// were any.
+    fn acquit(&mut self, request: Fingerprint, source: &str, out: &mut Output) -> bool {
+        let Some(crashes) = self.crashes.remove(&request) else { return false };
+        self.outgoing.retain(|(crash, _)| crash.request != request);
+        self.is_unsaved |= POISON_CRASHES <= crashes.len();
+        let line = Record::new("strikes_cleared").with("fingerprint", request);
+        out.log(line.with("strikes", crashes.len()).with("by", source));
+        true
+    }
+
     /// Returns the newest crashes for the next heartbeat.
     pub fn crashes_to_send(&self) -> Vec<Crash> {
         self.outgoing.iter().rev().take(MAX_HEARTBEAT_CRASHES).map(|(crash, _)| *crash).collect()
@@ -118,6 +139,9 @@
         for part in self.ledger.record_answer(&report.cleared) {
             out.log(Record::new("part_cleared").with("part", part).with("by", &report.from));
         }
+        for &request in &report.answered {
+            self.acquit(request, report.from.as_str(), out);
+        }
         for parts in report.blocked {
             self.block(ctx, parts, report.from.as_str(), out);
         }
@@ -173,9 +197,7 @@
         if requests.is_empty() && blocked.is_empty() {
             return None;
         }
-        let (crashes, cleared) = (Vec::new(), Vec::new());
-        let from = ctx.me.vm.clone();
-        Some(Datagram::CrashReport(Report { from, crashes, cleared, blocked, requests }))
+        Some(Datagram::CrashReport(Report { blocked, requests, ..report(ctx, Vec::new()) }))
     }
 
     /// Removes expired entries, and sends news to the peers.
@@ -223,15 +245,22 @@
 }
 
 fn report(ctx: &Context<'_>, news: Vec<Item>) -> Report {
-    let (mut crashes, mut cleared) = (Vec::new(), Vec::new());
+    let mut report = Report {
+        from: ctx.me.vm.clone(),
+        crashes: Vec::new(),
+        cleared: Vec::new(),
+        answered: Vec::new(),
+        blocked: Vec::new(),
+        requests: Vec::new(),
+    };
     for item in news {
         match item {
-            Item::Crash(crash) => crashes.push(crash),
-            Item::Cleared(part) => cleared.push(part),
+            Item::Crash(crash) => report.crashes.push(crash),
+            Item::Cleared(part) => report.cleared.push(part),
+            Item::Answered(request) => report.answered.push(request),
         }
     }
-    let (blocked, requests) = (Vec::new(), Vec::new());
-    Report { from: ctx.me.vm.clone(), crashes, cleared, blocked, requests }
+    report
 }
 
 /// Returns the parts of a prompt that may crash targets under other requests too: all
--- a/crates/gateway/src/request/state.rs
+++ b/crates/gateway/src/request/state.rs
@@ -191,6 +191,9 @@
             self.rooms.learn(step, pending, &active, end);
         }
         pending.record_end(&active, end);
+        if matches!(end, End::Complete { ok: true }) {
+            step.view.poison.record_completion(&pending.arrival, step.out);
+        }
         step.out.log(record::ended(step.ctx, pending, &active, end));
         self.hedging.record_end(step.ctx, pending, &active, end);
         if matches!(end, End::Complete { .. }) && !active.answer_began {
--- a/crates/gateway/tests/all/poison.rs
+++ b/crates/gateway/tests/all/poison.rs
@@ -45,6 +45,33 @@
     expect_send(world.arrive("/book/a"));
 }
 
+/// Guards against a lookup that callers repeat, and that is refused because its targets
+/// crashed for another reason three times in two minutes.
+#[test]
+fn a_request_that_is_answered_between_crashes_is_not_refused() {
+    let engines: Vec<_> = (0..12).map(|number| format!("t-{number}")).collect();
+    let mut world = World::new(&engines.iter().map(String::as_str).collect::<Vec<_>>());
+    for _ in 0..6 {
+        expect_send(run_poison(&mut world, false));
+        let again = world.arrive_with("/book/a", |arrival| arrival.fingerprint = POISON);
+        world.end(&expect_send(again), End::Complete { ok: true });
+    }
+}
+
+#[test]
+fn a_peer_that_saw_an_answer_acquits_a_request() {
+    let mut world = World::new(&["t-1", "t-2", "t-3", "t-4", "t-5"]);
+    world.change_row(Name::Member("vm-2".parse().unwrap()), Some(member("vm-2")));
+    while let Decision::Send(_) = run_poison(&mut world, false) {}
+    let Kind::Datagram(Datagram::CrashReport(report)) = crash_report(Vec::new(), Vec::new()) else {
+        unreachable!()
+    };
+    let report = Report { answered: vec![POISON], ..report };
+    world.apply(Kind::Datagram(Datagram::CrashReport(report)));
+    expect_send(run_poison(&mut world, false));
+    assert!(world.log.iter().any(|line| line.starts_with("event=strikes_cleared")));
+}
+
 /// A request went on crashing a pool of two targets that kept their ids, because each
 /// target counted once.
 #[test]
@@ -184,7 +211,9 @@
 /// A peer's report of crashes of engines by one prompt.
 fn crash_report(crashes: Vec<PromptCrash>, cleared: Vec<PartId>) -> Kind {
     let (from, blocked, requests) = ("vm-2".parse().unwrap(), Vec::new(), Vec::new());
-    Kind::Datagram(Datagram::CrashReport(Report { from, crashes, cleared, blocked, requests }))
+    let answered = Vec::new();
+    let report = Report { from, crashes, cleared, answered, blocked, requests };
+    Kind::Datagram(Datagram::CrashReport(report))
 }
 
 /// Creates a VM that knows a peer, and lets that report three crashes.
--- a/crates/wire/src/crash.rs
+++ b/crates/wire/src/crash.rs
@@ -4,7 +4,7 @@
 //! seconds away in a large fleet. All content is idempotent, so that it can be repeated
 //! in case a datagram is lost.
 
-use briarshift_units::{PartId, PartSet, VmId};
+use briarshift_units::{Fingerprint, PartId, PartSet, VmId};
 use serde::{Deserialize, Serialize};
 
 use crate::heartbeat::{Crash, TargetHash};
@@ -27,6 +27,8 @@
     pub crashes: Vec<PromptCrash>,
     /// Suspected parts of prompts whose answers have begun at the sender.
     pub cleared: Vec<PartId>,
+    /// Suspected requests that were answered in full at the sender.
+    pub answered: Vec<Fingerprint>,
     /// All sets of parts that the sender blocks. Only for a VM that has just started.
     pub blocked: Vec<PartSet>,
     /// Crashes of requests that are sent again. Only for a VM that has just started.
