Don't take an answer for whole that ends before its request is written

What callers saw (reported by other operators): part of an answer as a whole one, when a target answers an upload early, without a length, and goes away.

Cause: a body without a length ends with its connection, and the HTTP library ends it in order when the write of the request fails.

Evidence: forward answers_without_length_to_an_unfinished_request_are_broken on: Ok(b"part of a body").

Change: the stream of a connection keeps how much of the request was written. An answer of success without a length is broken if that is not all.

Why it works: a target that closed the connection can't have read what was never written, so its answer is not one to the whole request, or it was cut.

Not found here: a status of 000, heads that are cut off at any byte. Tests for both held before and are kept.

--- a/crates/forward/src/client.rs
+++ b/crates/forward/src/client.rs
@@ -7,7 +7,9 @@
 use briarshift_units::Size;
 use bytes::Bytes;
 use http::HeaderMap;
+use http::header::TRANSFER_ENCODING;
 use http_body_util::Full;
+use hyper::body::Body as _;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
 use smol_str::SmolStr;
@@ -16,7 +18,8 @@
 
 use crate::connection::error_chain;
 use crate::memory::Memory;
-use crate::pool::{Connection, Pool};
+use crate::pool::{Connection, Pool, Sender};
+use crate::stream::{Meter, Stream};
 use crate::{Body, Failure, Freshness, Request, Response};
 
 /// Most bytes of a connection that are buffered, and longest head of a response.
@@ -87,10 +90,12 @@
             Err(_) => return Err(Failure::NotSent("opening the connection timed out".into())),
         };
         self.configure(&stream).map_err(|err| Failure::NotSent(error_chain(&err)))?;
+        let meter = Rc::new(Meter::default());
+        let stream = TokioIo::new(Stream::new(stream, Rc::clone(&meter)));
         let mut builder = http1::Builder::new();
         builder.max_buf_size(MAX_BUFFER);
-        let handshake = builder.handshake::<_, Full<Bytes>>(TokioIo::new(stream)).await;
-        let (sender, driver) = handshake.map_err(|err| Failure::NotSent(error_chain(&err)))?;
+        let handshake = builder.handshake::<_, Full<Bytes>>(stream).await;
+        let (requests, driver) = handshake.map_err(|err| Failure::NotSent(error_chain(&err)))?;
         tokio::task::spawn_local(async move {
             // The request on this connection, if any, fails by itself.
             if let Err(err) = driver.await {
@@ -100,7 +105,7 @@
                 );
             }
         });
-        connection.opened(sender);
+        connection.opened(Sender { requests, meter });
         Ok(ReadyConnection(connection))
     }
 
@@ -115,11 +120,14 @@
         request: Request,
     ) -> Result<Response, Failure> {
         let ReadyConnection(mut connection) = ready;
+        let body_len = request.body.len();
         let request = build(request)?;
         let Some(sender) = connection.sender() else {
             return Err(Failure::NotSent("the connection is closed".into()));
         };
-        let response = match sender.try_send_request(request).await {
+        let meter = Rc::clone(&sender.meter);
+        meter.start(body_len);
+        let response = match sender.requests.try_send_request(request).await {
             Ok(response) => response,
             Err(err) if err.message().is_some() => {
                 return Err(Failure::NotSent(error_chain(err.error())));
@@ -127,12 +135,15 @@
             Err(err) => return Err(Failure::Broken(error_chain(err.error()))),
         };
         let (head, body) = response.into_parts();
+        // An answer of a failure is told even if its target went on to close the connection.
+        let is_framed = body.size_hint().exact().is_some() || is_chunked(&head.headers);
+        let unframed = (head.status.is_success() && !is_framed).then_some(meter);
         connection.set_keep_alive(keep_alive_timeout(&head.headers));
         Ok(Response {
             is_reused: connection.is_reused(),
             status: head.status,
             headers: head.headers,
-            body: Body::new(body, connection, &self.memory),
+            body: Body::new(body, connection, &self.memory, unframed),
         })
     }
 
@@ -170,6 +181,13 @@
     head.body(Full::new(request.body)).map_err(not_sent)
 }
 
+/// Returns true if the body consists of chunks, the last of which tells its end.
+fn is_chunked(headers: &HeaderMap) -> bool {
+    let last = headers.get_all(TRANSFER_ENCODING).iter().next_back();
+    let last = last.and_then(|value| value.to_str().ok()).unwrap_or_default();
+    last.trim_end().to_ascii_lowercase().ends_with("chunked")
+}
+
 /// Returns the `timeout` of the `Keep-Alive` header: the time after which the
 /// target closes an idle connection.
 fn keep_alive_timeout(headers: &HeaderMap) -> Option<Duration> {
--- a/crates/forward/src/connection.rs
+++ b/crates/forward/src/connection.rs
@@ -12,6 +12,7 @@
 
 use crate::memory::{Answer, Memory};
 use crate::pool::Connection;
+use crate::stream::Meter;
 
 /// Largest body that is read as a whole, in bytes. A target in trouble may send
 /// bytes without end, and a VM has a few hundred megabytes for all requests.
@@ -69,11 +70,18 @@
     incoming: Incoming,
     connection: Option<Connection>,
     memory: Rc<Memory>,
+    /// Set if the body has no length and ends with its connection.
+    unframed: Option<Rc<Meter>>,
 }
 
 impl Body {
-    pub(crate) fn new(incoming: Incoming, connection: Connection, memory: &Rc<Memory>) -> Self {
-        Self { incoming, connection: Some(connection), memory: Rc::clone(memory) }
+    pub(crate) fn new(
+        incoming: Incoming,
+        connection: Connection,
+        memory: &Rc<Memory>,
+        unframed: Option<Rc<Meter>>,
+    ) -> Self {
+        Self { incoming, connection: Some(connection), memory: Rc::clone(memory), unframed }
     }
 
     /// Waits for the next bytes and returns them, or `None` at the end of the
@@ -81,7 +89,9 @@
     ///
     /// # Errors
     ///
-    /// Returns [`Failure::Broken`] if the connection ends before the body does.
+    /// Returns [`Failure::Broken`] if the connection ends before the body does. A body
+    /// without a length ends with its connection, but it is not taken for whole if the
+    /// target closed the connection before it could have read the request.
     pub async fn chunk(&mut self) -> Result<Option<Bytes>, Failure> {
         loop {
             match self.incoming.frame().await {
@@ -95,6 +105,10 @@
                     return Err(Failure::Broken(error_chain(&err)));
                 }
                 None => {
+                    if self.unframed.as_ref().is_some_and(|meter| meter.is_request_unfinished()) {
+                        self.connection = None;
+                        return Err(Failure::Broken("ended before it read the request".into()));
+                    }
                     if let Some(connection) = self.connection.take() {
                         connection.release();
                     }
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -17,6 +17,7 @@
 mod header;
 mod memory;
 mod pool;
+mod stream;
 
 pub mod event;
 
--- a/crates/forward/src/pool.rs
+++ b/crates/forward/src/pool.rs
@@ -11,6 +11,8 @@
 use hyper::client::conn::http1::SendRequest;
 use tokio::time::Instant;
 
+use crate::stream::Meter;
+
 /// Margin before the end of the target's keep-alive timeout. The target closes
 /// an idle connection at its timeout, so the client stops using it this much
 /// earlier.
@@ -44,8 +46,14 @@
     idle: Vec<IdleConnection>,
 }
 
+/// Sends requests on a connection.
+pub(crate) struct Sender {
+    pub requests: SendRequest<Full<Bytes>>,
+    pub meter: Rc<Meter>,
+}
+
 struct IdleConnection {
-    sender: SendRequest<Full<Bytes>>,
+    sender: Sender,
     since: Instant,
     limit: Duration,
 }
@@ -57,7 +65,7 @@
             Freshness::Fresh => self.limit.mul_f64(FRESH_FRACTION),
             Freshness::New => return false,
         };
-        self.sender.is_ready() && now.duration_since(self.since) < limit
+        self.sender.requests.is_ready() && now.duration_since(self.since) < limit
     }
 }
 
@@ -71,7 +79,7 @@
     pool: Weak<Pool>,
     /// Longest time for which the connection may be idle.
     limit: Duration,
-    sender: Option<SendRequest<Full<Bytes>>>,
+    sender: Option<Sender>,
     /// True if another request has been sent on it before.
     is_reused: bool,
     /// True if dropping this must decrement [`Connections::open`].
@@ -108,7 +116,7 @@
     }
 
     /// Sets the sender, once the connection is open.
-    pub fn opened(&mut self, sender: SendRequest<Full<Bytes>>) {
+    pub fn opened(&mut self, sender: Sender) {
         self.sender = Some(sender);
     }
 
@@ -117,7 +125,7 @@
         self.is_reused
     }
 
-    pub fn sender(&mut self) -> Option<&mut SendRequest<Full<Bytes>>> {
+    pub fn sender(&mut self) -> Option<&mut Sender> {
         self.sender.as_mut()
     }
 
@@ -134,7 +142,7 @@
     pub fn release(mut self) {
         let Some(mut sender) = self.sender.take() else { return };
         tokio::task::spawn_local(async move {
-            if sender.ready().await.is_err() {
+            if sender.requests.ready().await.is_err() {
                 return;
             }
             let Some(pool) = self.pool.upgrade() else { return };
--- a/crates/forward/tests/all/main.rs
+++ b/crates/forward/tests/all/main.rs
@@ -327,3 +327,88 @@
         assert_eq!(client.held_bytes().0, 0);
     });
 }
+
+/// Starts a target that reads this many bytes of each request, writes an answer, and then
+/// either ends its side of the connection or resets it.
+async fn early_target(read: usize, answer: &'static str, resets: bool) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::task::spawn_local(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let mut request = vec![0; read];
+            let _ = stream.read_exact(&mut request).await;
+            let _ = stream.write_all(answer.as_bytes()).await;
+            settle().await;
+            if resets {
+                socket2::SockRef::from(&stream)
+                    .set_linger(Some(std::time::Duration::ZERO))
+                    .unwrap();
+            } else {
+                let _ = stream.shutdown().await;
+                settle().await;
+            }
+        }
+    });
+    address
+}
+
+/// Sends a request whose body the target doesn't read to its end.
+#[track_caller]
+fn check_early(answer: &'static str, resets: bool, check_result: fn(Result<Bytes, Failure>)) {
+    check(&[], async |client, _| {
+        let address = early_target(200, answer, resets).await;
+        let ready = client.connect(address, Freshness::Open, 4).await.unwrap();
+        let upload =
+            Request { method: Method::POST, body: vec![b'x'; 16 << 20].into(), ..request() };
+        let result = match client.send(ready, upload).await {
+            Ok(response) => response.body.read_to_end().await,
+            Err(failure) => Err(failure),
+        };
+        settle().await;
+        assert!(result.is_ok() || client.open_connections(address) == 0);
+        check_result(result);
+    });
+}
+
+/// Guards against part of an answer that passes for a whole one: it has no length, and the
+/// target went away while the request was still being written.
+#[test]
+fn answers_without_length_to_an_unfinished_request_are_broken() {
+    for resets in [true, false] {
+        for answer in ["HTTP/1.1 200 OK\r\n\r\npart of a body", "HTTP/1.1 200 OK\r\n\r\n"] {
+            check_early(answer, resets, |result| {
+                assert!(matches!(result, Err(Failure::Broken(_))), "{result:?}");
+            });
+        }
+    }
+}
+
+#[test]
+fn whole_answers_to_an_unfinished_request_are_read() {
+    for answer in [
+        "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+        "HTTP/1.1 413 Too Large\r\nConnection: close\r\n\r\nok",
+    ] {
+        check_early(answer, false, |result| assert_eq!(result.unwrap(), "ok"));
+    }
+    const EMPTY: &str = "HTTP/1.1 204 No Content\r\nConnection: close\r\n\r\n";
+    check_early(EMPTY, false, |result| assert_eq!(result.unwrap(), ""));
+}
+
+/// Guards against the head of a target in trouble that passes for an answer.
+#[test]
+fn heads_that_are_cut_off_or_have_no_status_are_broken() {
+    const SOUND: &str = "HTTP/1.1 200 OK\r\nX-Seal: 3e1b\r\nContent-Length: 2\r\n\r\n";
+    for end in 0..SOUND.len() {
+        check_early(&SOUND[..end], false, |result| {
+            assert!(matches!(result, Err(Failure::Broken(_))), "{result:?}");
+        });
+    }
+    for status in ["000", "099", "00", "2000", "-20", "abc", ""] {
+        let answer = format!("HTTP/1.1 {status} OK\r\nContent-Length: 2\r\n\r\nok");
+        check_early(answer.leak(), false, |result| {
+            assert!(matches!(result, Err(Failure::Broken(_))), "{result:?}");
+        });
+    }
+}
