Bound what a target may write before its answer

What callers saw: 40 requests at once whose target writes interim answers without end froze their VM, and no other request there was answered.

Cause: the HTTP library skips interim answers without a bound, and one connection may keep the thread as long as its bytes come.

Evidence: forward interim_answers_without_end_are_broken on: Err(Elapsed(())) after 10 s.

Change: a stream fails after 64 KB without a complete head, and yields to other connections after 64 KB in a row.

Why it works: interim answers count towards the head, and the turn of a connection ends whatever it reads.

--- a/crates/forward/src/client.rs
+++ b/crates/forward/src/client.rs
@@ -134,6 +134,7 @@
             }
             Err(err) => return Err(Failure::Broken(error_chain(err.error()))),
         };
+        meter.end_head();
         let (head, body) = response.into_parts();
         // An answer of a failure is told even if its target went on to close the connection.
         let is_framed = body.size_hint().exact().is_some() || is_chunked(&head.headers);
--- a/crates/forward/tests/all/main.rs
+++ b/crates/forward/tests/all/main.rs
@@ -66,6 +66,8 @@
     });
 }
 
+/// How long a test waits for the end of something that has none.
+const PATIENCE: std::time::Duration = std::time::Duration::from_secs(10);
 const OK: &str = "HTTP/1.1 200 OK\r\nKeep-Alive: timeout=9\r\nContent-Length: 2\r\n\r\nok";
 
 /// Gives the client time to return a connection to the pool, or to notice that
@@ -412,3 +414,38 @@
         });
     }
 }
+
+/// Guards against a target whose interim answers keep the thread from all other requests:
+/// the library skips each of them.
+#[test]
+fn interim_answers_without_end_are_broken() {
+    for interim in ["HTTP/1.1 100 Continue\r\n\r\n", "HTTP/1.1 103 Early Hints\r\nA: b\r\n\r\n"] {
+        check(&[&[OK]], async |client, sound| {
+            let address = endless_target("", interim.as_bytes()).await;
+            let endless = tokio::time::timeout(PATIENCE, call(&client, address)).await;
+            assert!(matches!(endless, Ok(Err(Failure::Broken(_)))), "{endless:?}");
+            assert_eq!(call(&client, sound).await.unwrap(), "ok");
+        });
+    }
+}
+
+/// Guards against a body without end that keeps the thread from other requests.
+#[test]
+fn a_body_without_end_leaves_other_requests_their_turn() {
+    check(&[&[OK]], async |client, sound| {
+        let address = endless_target("HTTP/1.1 200 OK\r\n\r\n", &[b'x'; 65_536]).await;
+        let ready = client.connect(address, Freshness::Open, 4).await.unwrap();
+        let mut endless = client.send(ready, request()).await.unwrap().body;
+        let answered = call(&client, sound);
+        tokio::pin!(answered);
+        let mut read = 0;
+        let answer = loop {
+            tokio::select! {
+                answer = &mut answered => break answer,
+                chunk = endless.chunk() => read += chunk.unwrap().unwrap().len(),
+            }
+        };
+        assert_eq!(answer.unwrap(), "ok");
+        assert!(read <= 64 << 20, "{read} bytes");
+    });
+}
