Hold bodies of requests and answers within a share of the VM's memory

Cause: nothing bounded the bodies of requests, and each was held until the end of its answer. The budget of answers counted less than they take.

Change: one budget for both, 30% of memory_mb. Beyond it a body that takes more than its share is refused as not run, after it was read, with Retry-After. Streams that may not be resumed drop their request's body when they begin; long answers go to their connection in pieces.

Why it works: all that is held for bodies is counted, and what is not kept is answered all the same.

--- a/crates/daemon/src/gateway/caller.rs
+++ b/crates/daemon/src/gateway/caller.rs
@@ -3,8 +3,10 @@
 use std::rc::Rc;
 
 use actix_web::http::StatusCode;
-use actix_web::web::{self, Bytes, BytesMut};
+use actix_web::web::{self, Bytes};
+
 use actix_web::{HttpRequest, HttpResponse};
+use briarshift_forward::{Buffer, Memory};
 use briarshift_gateway::request::Arrival;
 use briarshift_routing::room::Length;
 use briarshift_routing::selection::Part;
@@ -18,6 +20,10 @@
 use super::task::{Job, Worker};
 use super::{clock, response};
 
+/// Retry delay for callers whose request this VM has no memory for: some answers end in this
+/// time, and another VM may have room.
+const RETRY_AFTER_NO_MEMORY: Span = Span::from_millis(200);
+
 /// Why a request's body could not be read.
 enum BodyError {
     /// It is larger than this limit.
@@ -26,6 +32,9 @@
     Timeout,
     /// The caller stopped sending before its end.
     Incomplete,
+    /// This VM holds so many bodies that it did not keep this one. It was read to its end,
+    /// so that the caller can read the refusal.
+    NoMemory,
 }
 
 /// Handles any request: reads it and runs it to its response.
@@ -50,7 +59,8 @@
         }
     };
     let (max_body, read_timeout) = worker.shared().limits();
-    let body = match read_body(payload, max_body, read_timeout).await {
+    let memory = worker.memory();
+    let body = match read_body(payload, body_len(&headers), max_body, read_timeout, memory).await {
         Ok(body) => body,
         Err(error) => return reject_body(&error, request_headers.attempt.as_str()),
     };
@@ -84,7 +94,8 @@
     };
     let path = path.as_str().to_owned();
     let resume_after = request_headers.resume_after;
-    Worker::run(&worker, Job { arrival, method, path, headers, body, resume_after }).await
+    Worker::run(&worker, Job { arrival, method, path, headers, body: body.into(), resume_after })
+        .await
 }
 
 /// Copies the request's headers, from the types of actix-web to those of `http`.
@@ -105,28 +116,41 @@
     host.unwrap_or_default().into()
 }
 
-/// Reads a request's body. `read_timeout` is the longest wait for each chunk.
+/// Returns the length of the body that the headers state, if any.
+fn body_len(headers: &HeaderMap) -> Option<usize> {
+    headers.get(http::header::CONTENT_LENGTH)?.to_str().ok()?.parse().ok()
+}
+
+/// Reads a request's body, within a budget for all bodies. `expected` is the length that the
+/// caller states, `read_timeout` the longest wait for each chunk.
 async fn read_body(
     mut payload: web::Payload,
+    expected: Option<usize>,
     max_body: Size,
     read_timeout: Span,
+    memory: &Memory,
 ) -> Result<Bytes, BodyError> {
-    let mut body = BytesMut::new();
+    let mut body = Some(memory.buffer(expected));
+    let mut len = 0;
     loop {
         let Ok(chunk) = timeout(read_timeout.into(), payload.next()).await else {
             return Err(BodyError::Timeout);
         };
-        let Some(chunk) = chunk else { return Ok(body.freeze()) };
+        let Some(chunk) = chunk else {
+            return body.map(Buffer::finish).ok_or(BodyError::NoMemory);
+        };
         let chunk = chunk.map_err(|_| BodyError::Incomplete)?;
-        if max_body.0 < (body.len() + chunk.len()) as u64 {
+        len += chunk.len();
+        if max_body.0 < len as u64 {
             return Err(BodyError::TooLarge(max_body));
         }
-        body.extend_from_slice(&chunk);
+        body = body.and_then(|mut body| body.push(&chunk).then_some(body));
     }
 }
 
 /// Logs a request whose body could not be read and returns its response.
 fn reject_body(error: &BodyError, attempt: &str) -> HttpResponse {
+    let close = !matches!(error, BodyError::NoMemory);
     let (status, cause, remedy) = match error {
         BodyError::TooLarge(max_body) => {
             (StatusCode::PAYLOAD_TOO_LARGE, "too_long", format!("send at most {max_body}"))
@@ -137,9 +161,20 @@
         BodyError::Incomplete => {
             (StatusCode::BAD_REQUEST, "broken_off", "send the complete body".into())
         }
+        BodyError::NoMemory => (
+            StatusCode::SERVICE_UNAVAILABLE,
+            "no_vm_memory",
+            "this VM holds too many bodies now: retry after the time given".into(),
+        ),
     };
     log::info!("event=refused request={attempt} cause={cause} outcome=not_run");
-    response::error(status, cause, &remedy, true)
+    let mut response = response::error(status, cause, &remedy, close);
+    if let BodyError::NoMemory = error
+        && let Some(wait) = response::retry_after(RETRY_AFTER_NO_MEMORY)
+    {
+        response.headers_mut().insert(actix_web::http::header::RETRY_AFTER, wait);
+    }
+    response
 }
 
 /// Returns a hash of account key, path and body. Each part is preceded by its length,
--- a/crates/daemon/src/gateway/daemon.rs
+++ b/crates/daemon/src/gateway/daemon.rs
@@ -11,7 +11,7 @@
 use actix_web::dev::{Server, ServerHandle};
 use actix_web::{App, HttpServer, web};
 use anyhow::{Context, anyhow};
-use briarshift_forward::{Client, HeaderCodec};
+use briarshift_forward::{Client, HeaderCodec, Memory};
 use briarshift_gateway::{Bounds, Features, Identity, Kind};
 use briarshift_routing::freshness;
 use briarshift_routing::hedge;
@@ -19,7 +19,7 @@
 use briarshift_routing::selection::Bound;
 use briarshift_settings::Gateway as Settings;
 use briarshift_store::registry::{Registry, Secret};
-use briarshift_units::{MegabitsPerSecond, Span};
+use briarshift_units::{MegabitsPerSecond, Size, Span};
 use tokio::sync::{mpsc, oneshot, watch};
 
 use super::control::{Control, Input};
@@ -42,6 +42,9 @@
 const FINAL_FLUSH_DELAY: Duration = Duration::from_millis(50);
 /// Limit of connections that wait to be accepted.
 const BACKLOG: u32 = 1024;
+/// Share of a VM's memory that may hold the bodies of requests and answers. The rest is for
+/// the process itself, for connections with their buffers, and for what the allocator keeps.
+const BODY_MEMORY_SHARE: f64 = 0.3;
 /// Share of the configured load factor that is used. The rest is a margin, because
 /// the load counts of the other VMs are a few hundred milliseconds old.
 const LOAD_FACTOR_SHARE: f64 = 0.9;
@@ -282,11 +285,14 @@
     let listener = bind_listener(settings.caller_address)?;
     let address = listener.local_addr()?;
     let (control, shared) = (control.clone(), shared.clone());
+    let memory = settings.memory_mb.map_or_else(Memory::default, |megabytes| {
+        Memory::new(Size((megabytes * BODY_MEMORY_SHARE * f64::from(1 << 20)) as u64))
+    });
     // The server has one worker, so the factory runs once and its client gets all
     // commands.
     let command_receiver = Arc::new(std::sync::Mutex::new(Some(command_receiver)));
     let factory = move || {
-        let client = Client::default();
+        let client = Client::new(briarshift_forward::Options::default(), memory.clone());
         if let Some(command_receiver) =
             command_receiver.lock().ok().and_then(|mut slot| slot.take())
         {
--- a/crates/daemon/src/gateway/response.rs
+++ b/crates/daemon/src/gateway/response.rs
@@ -1,7 +1,11 @@
 //! HTTP responses to callers.
 
+use std::io;
+
+use actix_web::body::SizedStream;
 use actix_web::http::StatusCode;
 use actix_web::http::header::{HeaderName, HeaderValue, RETRY_AFTER};
+use actix_web::web::Bytes;
 use actix_web::{HttpResponse, HttpResponseBuilder};
 use briarshift_gateway::request::{Cause, Refusal};
 use briarshift_units::Span;
@@ -18,6 +22,9 @@
     "upgrade",
 ];
 
+/// Longest piece of an answer that is handed over to its connection, in bytes.
+const MAX_PIECE: usize = 32 << 10;
+
 /// The JSON body of a response that this VM writes itself.
 #[derive(Debug, Serialize)]
 struct ErrorBody<'a> {
@@ -52,6 +59,20 @@
     pub(super) headers: http::HeaderMap,
 }
 
+/// Returns the response with a target's whole answer. A long body is handed over piece by
+/// piece, so that the connection of a caller that reads slowly has no second copy of it.
+pub(super) fn whole(head: &Head, close: bool, body: Bytes) -> HttpResponse {
+    let mut response = from_target(head, close);
+    if body.len() <= MAX_PIECE {
+        return response.body(body);
+    }
+    let len = body.len();
+    let pieces = (0..len)
+        .step_by(MAX_PIECE)
+        .map(move |from| Ok::<_, io::Error>(body.slice(from..len.min(from + MAX_PIECE))));
+    response.body(SizedStream::new(len as u64, futures::stream::iter(pieces)))
+}
+
 /// Returns the response to a refused request.
 pub(super) fn refusal(refusal: &Refusal, close: bool) -> HttpResponse {
     let status = match refusal.cause {
@@ -79,6 +100,6 @@
 }
 
 /// Formats a wait as seconds with three decimal places.
-fn retry_after(span: Span) -> Option<HeaderValue> {
+pub(super) fn retry_after(span: Span) -> Option<HeaderValue> {
     HeaderValue::from_str(&format!("{:.3}", span.as_secs_f64())).ok()
 }
--- a/crates/daemon/src/gateway/task.rs
+++ b/crates/daemon/src/gateway/task.rs
@@ -1,6 +1,6 @@
 //! The traffic thread: executes the control thread's decisions on requests.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -11,7 +11,7 @@
 use briarshift_catalog::Kind as RouteKind;
 use briarshift_forward::event::Splitter;
 use briarshift_forward::{
-    Body, Client, Failure, Freshness, HeaderCodec, Request, Response, ResponseHeaders,
+    Body, Client, Failure, Freshness, HeaderCodec, Memory, Request, Response, ResponseHeaders,
     TargetHeaders,
 };
 use briarshift_gateway::Kind;
@@ -52,7 +52,7 @@
     pub(super) method: Method,
     pub(super) path: String,
     pub(super) headers: HeaderMap,
-    pub(super) body: Bytes,
+    pub(super) body: RefCell<Bytes>,
     pub(super) resume_after: Option<SmolStr>,
 }
 
@@ -121,6 +121,10 @@
         &self.shared
     }
 
+    pub(super) fn memory(&self) -> &Memory {
+        self.client.memory()
+    }
+
     pub(super) fn header_codec(&self) -> &dyn HeaderCodec {
         &*self.header_codec
     }
@@ -158,6 +162,10 @@
                 Ok(TargetAnswer::Stream { head, first, body, splitter, report }) => {
                     drop(attempts);
                     this.notify(Event::AnswerBegan { id: send.id, report });
+                    if !send.kind.is_idempotent() {
+                        // Nothing sends it again. An answer may take long.
+                        job.body.take();
+                    }
                     let close = this.shared.is_draining();
                     let stream = (send, body, splitter);
                     let relay = Relay::new(Rc::clone(this), job, guard, decisions, stream);
@@ -167,7 +175,7 @@
                     drop(attempts);
                     guard.disarm();
                     this.report_end(send.id, End::Complete { ok: true }, report);
-                    return response::from_target(&head, this.shared.is_draining()).body(body);
+                    return response::whole(&head, this.shared.is_draining(), body);
                 }
                 Ok(TargetAnswer::Complete { head, body, report }) => {
                     this.report_end(send.id, End::Failed { status: head.status }, report);
@@ -190,7 +198,7 @@
         match (decision, failed_answer) {
             (Some(Decision::Refuse(refusal)), _) => self.refuse(&refusal),
             (Some(Decision::Deliver), Some((head, body))) => {
-                response::from_target(&head, self.shared.is_draining()).body(body)
+                response::whole(&head, self.shared.is_draining(), body)
             }
             _ => {
                 let remedy =
@@ -323,7 +331,7 @@
             method: job.method.clone(),
             path: job.path.clone(),
             headers: self.header_codec.encode_request(&job.headers, &target_headers),
-            body: job.body.clone(),
+            body: job.body.borrow().clone(),
         }
     }
 
--- a/crates/forward/src/client.rs
+++ b/crates/forward/src/client.rs
@@ -4,7 +4,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use briarshift_units::Size;
 use bytes::Bytes;
 use http::HeaderMap;
 use http::header::TRANSFER_ENCODING;
@@ -51,16 +50,17 @@
 pub struct Client {
     options: Options,
     pool: Rc<Pool>,
-    memory: Rc<Memory>,
+    memory: Memory,
 }
 
 /// An open connection, reserved for one request.
 pub struct ReadyConnection(Connection);
 
 impl Client {
-    /// Creates a client with the given timeouts.
-    pub fn new(options: Options) -> Self {
-        Self { options, pool: Rc::default(), memory: Rc::default() }
+    /// Creates a client with the given timeouts, and the budget in which it holds answers
+    /// that are read as a whole.
+    pub fn new(options: Options, memory: Memory) -> Self {
+        Self { options, pool: Rc::default(), memory }
     }
 
     /// Returns a connection to a target: an idle one that is fresh enough, or a
@@ -160,10 +160,9 @@
         self.pool.borrow().get(&address).map_or(0, |connections| connections.open)
     }
 
-    /// Returns the size of the answers that are being read as a whole, as far as they
-    /// have been read.
-    pub fn held_bytes(&self) -> Size {
-        Size(self.memory.bytes() as u64)
+    /// Returns the budget in which answers are held that are read as a whole.
+    pub fn memory(&self) -> &Memory {
+        &self.memory
     }
 
     fn configure(&self, stream: &TcpStream) -> std::io::Result<()> {
--- a/crates/forward/src/connection.rs
+++ b/crates/forward/src/connection.rs
@@ -6,11 +6,11 @@
 use bytes::Bytes;
 use http::{HeaderMap, Method, StatusCode};
 use http_body_util::BodyExt;
-use hyper::body::Incoming;
+use hyper::body::{Body as _, Incoming};
 use smol_str::SmolStr;
 use tokio::time::timeout;
 
-use crate::memory::{Answer, Memory};
+use crate::memory::Memory;
 use crate::pool::Connection;
 use crate::stream::Meter;
 
@@ -69,7 +69,7 @@
 pub struct Body {
     incoming: Incoming,
     connection: Option<Connection>,
-    memory: Rc<Memory>,
+    memory: Memory,
     /// Set if the body has no length and ends with its connection.
     unframed: Option<Rc<Meter>>,
 }
@@ -78,10 +78,10 @@
     pub(crate) fn new(
         incoming: Incoming,
         connection: Connection,
-        memory: &Rc<Memory>,
+        memory: &Memory,
         unframed: Option<Rc<Meter>>,
     ) -> Self {
-        Self { incoming, connection: Some(connection), memory: Rc::clone(memory), unframed }
+        Self { incoming, connection: Some(connection), memory: memory.clone(), unframed }
     }
 
     /// Waits for the next bytes and returns them, or `None` at the end of the
@@ -126,13 +126,14 @@
     /// body is longer, or all bodies that are being read take too much memory and this
     /// one more than its share. The connection is then closed.
     pub async fn read_to_end(mut self) -> Result<Bytes, Failure> {
-        let mut answer = Answer::new(&self.memory);
+        let len = self.incoming.size_hint().exact().map(|len| len as usize);
+        let mut answer = self.memory.buffer(len);
         while let Some(bytes) = self.chunk().await? {
             if MAX_BODY < answer.len() + bytes.len() {
                 return Err(Failure::Broken(format!("longer than {MAX_BODY} bytes").into()));
             }
             if !answer.push(&bytes) {
-                return Err(Failure::Broken("too long beside other answers".into()));
+                return Err(Failure::Broken("too long beside other bodies".into()));
             }
         }
         Ok(answer.finish())
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -26,4 +26,5 @@
 pub use header::{
     HeaderCodec, HeaderError, Load, RequestHeaders, ResponseHeaders, TargetHeaders, TokenCount,
 };
+pub use memory::{Buffer, Memory};
 pub use pool::Freshness;
--- a/crates/forward/tests/all/main.rs
+++ b/crates/forward/tests/all/main.rs
@@ -311,7 +311,7 @@
         let calls: Vec<_> = calls.collect();
         let mut most = 0;
         while !calls.iter().all(tokio::task::JoinHandle::is_finished) {
-            most = most.max(client.held_bytes().0);
+            most = most.max(client.memory().held().0);
             tokio::task::yield_now().await;
         }
         assert!(most <= 49 << 20, "{most} bytes");
@@ -326,7 +326,7 @@
             }
         }
         assert!(40 < broken, "{broken}");
-        assert_eq!(client.held_bytes().0, 0);
+        assert_eq!(client.memory().held().0, 0);
     });
 }
 
--- a/crates/settings/src/gateway.rs
+++ b/crates/settings/src/gateway.rs
@@ -49,6 +49,11 @@
     #[serde(default, skip_serializing_if = "is_zero")]
     #[schemars(range(min = 0.0, max = 1_000_000.0))]
     pub link_mbit_s: f64,
+    /// Memory of this VM in megabytes. A share of it is the budget for the bodies of requests and
+    /// answers. Omit it if it is not known.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    #[schemars(range(min = 32.0, max = 1_000_000.0))]
+    pub memory_mb: Option<f64>,
     /// Base URL of the platform's store, without a path.
     #[schemars(regex(pattern = "^https?://[^/]+/?$"))]
     pub store: SmolStr,
