--- a/crates/daemon/src/gateway/control.rs
+++ b/crates/daemon/src/gateway/control.rs
@@ -157,8 +157,8 @@
         let control = ctx.address();
         let sent = clock::now();
         actix_rt::spawn(async move {
-            let result = registry.execute(call.clone()).await;
-            control.do_send(Input(Kind::Store { call, sent, result }));
+            let answer = registry.execute(call.clone()).await;
+            control.do_send(Input(Kind::Store { call, sent, answer }));
         });
     }
 }
--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -2,8 +2,7 @@
 
 use std::net::SocketAddr;
 
-use briarshift_store::Error;
-use briarshift_store::registry::{Call, Reply};
+use briarshift_store::registry::{Answer, Call};
 use briarshift_units::{Moment, TargetId};
 use briarshift_wire::datagram::Datagram;
 
@@ -34,8 +33,8 @@
         call: Call,
         /// When it was sent.
         sent: Moment,
-        /// The reply.
-        result: Result<Reply, Error>,
+        /// What became of it.
+        answer: Answer,
     },
     /// The result of [`crate::Effect::CheckTarget`].
     TargetChecked {
--- a/crates/gateway/src/limit.rs
+++ b/crates/gateway/src/limit.rs
@@ -27,6 +27,14 @@
 /// Registrations that expired during an outage are written again within two
 /// seconds of the store's return.
 pub const STORE_FAILURE_WINDOW: Span = Span::from_millis(3_000);
+/// Time after the store's return from a copy before which a read of the configuration does not
+/// show that it is the newest: operators write again what the store has lost.
+pub const RETURN_SETTLE_TIME: Span = Span::from_secs(2);
+/// Time after the store's return from a copy for which what operators had said of a data
+/// centre holds if the copy says otherwise.
+pub const LOST_EVACUATION_TIME: Span = Span::from_secs(3);
+/// Time over which VMs spread their registrations after the store has returned from a copy.
+pub const REGISTRATION_SPREAD: Span = Span::from_secs(1);
 /// How long a target whose registration ended while the store was failing is
 /// still used if no other target is left. Below the shortest bound on leaving
 /// targets (2 s).
--- a/crates/gateway/src/poison.rs
+++ b/crates/gateway/src/poison.rs
@@ -158,6 +158,12 @@
         self.is_unsaved = false;
     }
 
+    /// Lets what is refused be written again, if there is anything, since the store may have
+    /// lost it.
+    pub fn mark_unsaved(&mut self) {
+        self.is_unsaved = true;
+    }
+
     /// Returns true if what is refused has changed since this was last called.
     pub fn take_unsaved(&mut self) -> bool {
         std::mem::take(&mut self.is_unsaved)
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -4,8 +4,7 @@
 use std::sync::Arc;
 
 use briarshift_logging::Record;
-use briarshift_store::Error;
-use briarshift_store::registry::{Call, Reply, Value};
+use briarshift_store::registry::{self, Call, Value};
 use briarshift_units::{Moment, TargetId, VmId};
 use briarshift_wire::datagram::Datagram;
 use briarshift_wire::heartbeat::Heartbeat;
@@ -87,8 +86,8 @@
         match event.kind {
             Kind::Tick => self.handle_tick(&ctx, &mut out),
             Kind::Request(event) => self.handle_request(&ctx, event, &mut out),
-            Kind::Store { call, sent, result } => {
-                self.handle_store_reply(&ctx, &call, sent, result, &mut out);
+            Kind::Store { call, sent, answer } => {
+                self.handle_store_reply(&ctx, &call, sent, answer, &mut out);
             }
             Kind::Datagram(datagram) => {
                 self.handle_datagram(&ctx, datagram, &mut out);
@@ -109,7 +108,7 @@
         self.targets.tick(ctx, out);
         self.targets.tick_limits(ctx, &self.peers, out);
         self.targets.tick_leaving(ctx, &self.peers, out);
-        self.targets.tick_evacuations(ctx, &self.peers, out);
+        self.targets.tick_evacuations(ctx, &self.peers, self.sync.rows_complete_at(), out);
         self.targets.tick_cold(ctx, &self.peers, self.sync.read_at(), out);
         self.targets.tick_speeds(ctx, &self.peers, out);
         self.poison.tick(ctx, &self.peers, out);
@@ -171,7 +170,7 @@
         }
         for row in &update.rows {
             let Some(Value::Holdings(bytes)) = &row.value else { continue };
-            let line = Record::new("holdings").with("version", row.version.0);
+            let line = Record::new("holdings").with("version", row.version);
             match Holdings::decode(bytes) {
                 Ok(holdings) => {
                     let parts = self.cache.restore(&holdings, ctx.at);
@@ -226,10 +225,10 @@
         ctx: &Context<'_>,
         call: &Call,
         sent: Moment,
-        result: Result<Reply, Error>,
+        answer: registry::Answer,
         out: &mut Output,
     ) {
-        if let Some(update) = self.sync.handle_store_reply(ctx, call, sent, result, out) {
+        if let Some(update) = self.sync.handle_store_reply(ctx, call, sent, answer, out) {
             self.apply_update(ctx, &update, out);
         }
     }
@@ -290,11 +289,15 @@
         }
         self.peers.update(ctx, update, out);
         self.restore_holdings(ctx, update, out);
+        if update.has_returned {
+            self.poison.mark_unsaved();
+        }
     }
 
     fn handle_heartbeat(&mut self, ctx: &Context<'_>, heartbeat: Heartbeat, out: &mut Output) {
         let from = heartbeat.from.clone();
         let was_live = self.peers.is_live(&from);
+        self.sync.hear_revision(heartbeat.revision);
         let Some(incoming) = self.peers.receive(ctx, heartbeat, out) else { return };
         if !was_live {
             self.send_poison_summary(ctx, &from, out);
--- a/crates/gateway/src/sync/mod.rs
+++ b/crates/gateway/src/sync/mod.rs
@@ -35,9 +35,9 @@
 use briarshift_catalog::Catalog;
 use briarshift_logging::Record;
 use briarshift_routing::freshness::Freshness;
-use briarshift_store::registry::{Call, Name, Reply, Row, Secret, Value};
-use briarshift_store::{Error, Version};
-use briarshift_units::{Moment, Span, VmId};
+use briarshift_store::registry::{Answer, Call, Name, Reply, Row, Secret, Value};
+use briarshift_store::{Era, Error, Position};
+use briarshift_units::{Moment, Revision, Span, VmId};
 use briarshift_wire::datagram::Datagram;
 use briarshift_wire::sync::{Request, Response};
 
@@ -46,8 +46,8 @@
 use self::pace::Pace;
 use crate::context::call_name;
 use crate::limit::{
-    DELEGATE_INTERVAL, DELEGATE_TIMEOUT, FAILURE_LOG_INTERVAL, READERS, STORE_FAILURE_WINDOW,
-    STORE_FALLBACK_STEP, STORE_RETRY_DELAY, SYNC_RETRY_DELAY,
+    DELEGATE_INTERVAL, DELEGATE_TIMEOUT, FAILURE_LOG_INTERVAL, READERS, RETURN_SETTLE_TIME,
+    STORE_FAILURE_WINDOW, STORE_FALLBACK_STEP, STORE_RETRY_DELAY, SYNC_RETRY_DELAY,
 };
 use crate::{Bounds, Context, Effect, Output, peer};
 
@@ -59,10 +59,14 @@
     /// The rows are a snapshot: rows that are missing have been deleted.
     pub snapshot: bool,
     /// The store's version up to which the rows are complete.
-    pub version: Version,
-    /// Set while the store is failing: rows that are missing may have lapsed, at this time
-    /// at the earliest, and may return.
+    pub version: Position,
+    /// Set while the store is failing, and for a while after it has returned from a copy:
+    /// rows that are missing may have lapsed, at this time at the earliest, and may return.
     pub lapsed_at: Option<Moment>,
+    /// These are the first rows of a later era than the rows before: the store has returned
+    /// from a copy, and what operators and targets wrote since may not be written again yet.
+    /// All evacuated data centres are among the rows.
+    pub has_returned: bool,
 }
 
 /// The query that is waiting for its reply.
@@ -106,7 +110,7 @@
 #[derive(Debug)]
 pub struct State {
     catalog: Option<Arc<Catalog>>,
-    version: Option<Version>,
+    version: Option<Position>,
     /// When the rows up to `version` were known to be all that there were. Older than
     /// the confirmation of the configuration if only that was read since.
     rows: RowsAge,
@@ -117,8 +121,17 @@
     /// The store holds another configuration than the one in force, so that reads
     /// don't confirm that one.
     is_superseded: bool,
+    era: Era,
+    /// When this VM learned of the era, if it is not the first one.
+    returned_at: Option<Moment>,
+    /// Nothing has confirmed the configuration since the store returned.
+    is_unsettled: bool,
+    /// The newest revision of the configuration that a peer had in force.
+    peer_revision: Revision,
     pace: Pace,
     secret: Option<Secret>,
+    /// The store has lost the secret, so that a VM must write it again.
+    secret_lost: bool,
     registration: Registration,
     journal: Journal,
     query: Query,
@@ -159,8 +172,13 @@
             freshness: Freshness::new(bounds.key_age),
             read_at: None,
             is_superseded: false,
+            era: Era::default(),
+            returned_at: None,
+            is_unsettled: false,
+            peer_revision: Revision::default(),
             pace: Pace::new(bounds.change, bounds.key_age),
             secret: None,
+            secret_lost: false,
             registration: Registration::default(),
             journal: Journal::default(),
             query: Query::None,
@@ -194,6 +212,11 @@
         self.read_at
     }
 
+    /// Returns when the rows were last known to be complete.
+    pub fn rows_complete_at(&self) -> Option<Moment> {
+        self.rows.certain()
+    }
+
     /// Applies changed bounds.
     pub fn set_bounds(&mut self, bounds: &Bounds) {
         self.freshness.set_max_age(bounds.key_age);
@@ -214,10 +237,48 @@
             self.start_query(ctx, peers, out);
         }
         if self.version.is_some() {
-            self.registration.tick(ctx, self.secret.is_some(), out);
+            let secret = self.secret.as_ref().unwrap_or(&ctx.me.secret);
+            let is_stored = self.secret.is_some() && !self.secret_lost;
+            self.registration.tick(ctx, (!is_stored).then_some(secret), out);
         }
     }
 
+    /// Records which revision of the configuration a peer has in force.
+    pub fn hear_revision(&mut self, revision: Revision) {
+        self.peer_revision = self.peer_revision.max(revision);
+    }
+
+    /// Begins a later era of the store, of which this VM learned by an answer to a call or by
+    /// a peer's message.
+    fn begin_era(&mut self, ctx: &Context<'_>, era: Era, by: &str, out: &mut Output) {
+        let line = Record::new("store_returned").with("before", self.era).with("era", era);
+        out.log(
+            line.with("version", self.version.unwrap_or_default())
+                .with(
+                    "catalog",
+                    self.catalog.as_ref().map_or_else(Revision::default, |it| it.revision()),
+                )
+                .with("by", by),
+        );
+        self.era = era;
+        self.returned_at = Some(ctx.at);
+        self.is_unsettled = true;
+        self.rows.is_certain = false;
+        self.delegates_lack_changes = false;
+        self.registration.restart(ctx);
+    }
+
+    /// Returns true if the rows are of an earlier era and must be read anew.
+    fn must_read_anew(&self) -> bool {
+        self.version.is_some_and(|version| version.era < self.era)
+    }
+
+    /// Returns true if the store returned from a copy so recently that rows may be missing
+    /// that are about to be written again.
+    fn has_just_returned(&self, now: Moment) -> bool {
+        self.returned_at.is_some_and(|at| now.since(at) < STORE_FAILURE_WINDOW)
+    }
+
     /// Ends this VM's registration.
     pub fn leave(&mut self, out: &mut Output) {
         self.registration.leave(out);
@@ -241,17 +302,22 @@
             let role = if self.compacted { "compacted" } else { "start" };
             return out.call(Call::ReadAll { newest: self.compacted }, role);
         };
-        if self.unconfirmed && !self.has_store_failed(ctx.at) {
+        let is_past = self.must_read_anew();
+        if self.unconfirmed && !is_past && !self.has_store_failed(ctx.at) {
             self.query = Query::Store;
             return out.call(Call::ReadCatalog { after }, "start");
         }
         if let Some(Source { vm, address, max_age }) = self.peer_to_ask(ctx, peers) {
-            let request = Request { from: ctx.me.vm.clone(), sent_at: ctx.at, after: after.0 };
+            let request = Request { from: ctx.me.vm.clone(), sent_at: ctx.at, after };
             self.query = Query::Peer { vm, at: ctx.at, max_age };
             return out.push(Effect::Send { address, datagram: Datagram::SyncRequest(request) });
         }
         self.query = Query::Store;
-        out.call(Call::ReadChanges { after, wait: Span::ZERO }, self.role(ctx, peers));
+        let call = match is_past {
+            true => Call::ReadAll { newest: true },
+            false => Call::ReadChanges { after, wait: Span::ZERO },
+        };
+        out.call(call, self.role(ctx, peers));
     }
 
     /// Returns the peer to query, or `None` if this VM must query the store
@@ -357,23 +423,30 @@
         age.is_none_or(|age| self.pace.fallback_age + Span(delay) <= age)
     }
 
-    /// Responds to a peer's request, if this VM knows enough.
+    /// Responds to a peer's request, if this VM knows enough. A peer of a later era shows
+    /// that the store has returned; this VM must read before it can respond.
     pub fn handle_request(
-        &self,
+        &mut self,
         ctx: &Context<'_>,
         request: &Request,
         address: SocketAddr,
         out: &mut Output,
     ) {
+        if self.era < request.after.era {
+            self.begin_era(ctx, request.after.era, request.from.as_str(), out);
+        }
+        if self.must_read_anew() {
+            return;
+        }
         let (Some(version), Some(read_at)) = (self.version, self.read_at) else { return };
         let response = Response {
             from: ctx.me.vm.clone(),
             request_sent_at: request.sent_at,
-            version: version.0,
+            version,
             age: ctx.at.since(read_at),
             rows_age: self.rows.certain().map(|at| ctx.at.since(at)),
             store_failing: self.is_store_failing(ctx.at),
-            rows: self.journal.changes_after(Version(request.after)),
+            rows: self.journal.changes_after(request.after),
         };
         out.push(Effect::Send { address, datagram: Datagram::SyncResponse(response) });
     }
@@ -394,6 +467,15 @@
             _ => return None,
         };
         self.query = Query::None;
+        if response.version.era < self.era {
+            // The peer has not read since the store returned.
+            self.failed_delegate = Some(response.from.clone());
+            self.failed_readers.insert(response.from, ctx.at);
+            return None;
+        }
+        if self.era < response.version.era {
+            self.begin_era(ctx, response.version.era, response.from.as_str(), out);
+        }
         if response.store_failing {
             self.failure_seen_at = Some(ctx.at);
         }
@@ -421,10 +503,16 @@
         if let Some(age) = response.rows_age {
             self.rows.confirm(as_of(age));
         }
-        let version = self.version.max(Some(Version(response.version)));
+        let version = self.version.max(Some(response.version));
         let version = version.unwrap_or_default();
-        let rows = self.apply_rows(rows, false, version, Some(confirmed), out);
-        let update = self.update(ctx, rows, false, version, read_before);
+        let has_returned = self.must_read_anew();
+        let mut rows = self.apply_rows(ctx, rows, false, version, Some(confirmed), out);
+        if has_returned {
+            // A peer's report may have told of an evacuation whose row this VM never read.
+            rows.retain(|row| !matches!(row.name, Name::Evacuation(_)));
+            rows.extend(self.journal.evacuations().cloned());
+        }
+        let update = Update { has_returned, ..self.update(ctx, rows, false, version, read_before) };
         log_changes(&update, response.from.as_str(), response.rows_age, out);
         Some(update)
     }
@@ -436,10 +524,22 @@
         ctx: &Context<'_>,
         call: &Call,
         sent: Moment,
-        result: Result<Reply, Error>,
+        answer: Answer,
         out: &mut Output,
     ) -> Option<Update> {
+        let Answer { era, mut result } = answer;
         self.log_store_health(ctx, call, &result, out);
+        if let Some(era) = era {
+            if self.era < era {
+                self.begin_era(ctx, era, call_name(call), out);
+            }
+            // What an earlier era said, or what has changed since a position of an earlier
+            // one, says nothing of this one.
+            let is_past = era < self.era || call.after().is_some_and(|after| after.era < self.era);
+            if is_past && result.is_ok() {
+                result = Err(Error::Compacted);
+            }
+        }
         let snapshot = match call {
             Call::ReadAll { .. } => true,
             Call::ReadChanges { .. } | Call::ReadCatalog { .. } => false,
@@ -468,8 +568,12 @@
                     self.rows.at = self.rows.at.max(Some(sent));
                     self.next_query_at = ctx.at;
                     self.unconfirmed = true;
-                    let rows = self.apply_rows(rows, snapshot, version, None, out);
-                    return Some(self.update(ctx, rows, true, version, read_before));
+                    let has_returned = self.must_read_anew();
+                    self.secret_lost = has_returned
+                        && !rows.iter().any(|row| row.name == Name::Secret && row.value.is_some());
+                    let rows = self.apply_rows(ctx, rows, snapshot, version, None, out);
+                    let update = self.update(ctx, rows, true, version, read_before);
+                    return Some(Update { has_returned, ..update });
                 }
                 let is_catalog = matches!(call, Call::ReadCatalog { .. });
                 if is_catalog {
@@ -483,17 +587,22 @@
                 }
                 let known = self.version.filter(|_| is_catalog);
                 let version = known.unwrap_or(version);
-                let rows = self.apply_rows(rows, false, version, Some(sent), out);
+                let rows = self.apply_rows(ctx, rows, false, version, Some(sent), out);
                 let update = self.update(ctx, rows, false, version, read_before);
                 log_changes(&update, "store", Some(ctx.at.since(sent)), out);
                 Some(update)
             }
+            Err(Error::Compacted) if self.must_read_anew() => {
+                self.store_failed_at = None;
+                self.next_query_at = ctx.at;
+                None
+            }
             Err(err @ (Error::Compacted | Error::TooLong)) => {
                 // Until it has read all rows, this VM still responds to its peers
                 // with what it knows, so that they don't read all rows too.
                 self.compacted = true;
                 let version = self.version.unwrap_or_default();
-                let line = Record::new("store_compacted").with("version", version.0);
+                let line = Record::new("store_compacted").with("version", version);
                 out.log(line.with("reason", err));
                 self.next_query_at = ctx.at;
                 None
@@ -510,13 +619,15 @@
         ctx: &Context<'_>,
         rows: Vec<Row>,
         snapshot: bool,
-        version: Version,
+        version: Position,
         read_before: Option<Moment>,
     ) -> Update {
         let is_recent = |at: Moment| ctx.at.since(at) < STORE_FAILURE_WINDOW;
         let earliest = read_before.filter(|_| !self.own_failure_at.is_some_and(is_recent));
-        let lapsed_at = self.is_store_failing(ctx.at).then(|| earliest.unwrap_or(ctx.at));
-        Update { rows, snapshot, version, lapsed_at }
+        let may_return = self.is_store_failing(ctx.at) || self.has_just_returned(ctx.at);
+        let earliest = earliest.filter(|_| !self.has_just_returned(ctx.at));
+        let lapsed_at = may_return.then_some(earliest.unwrap_or(ctx.at));
+        Update { rows, snapshot, version, lapsed_at, has_returned: false }
     }
 
     /// Logs when the store starts to fail and when it is back.
@@ -546,9 +657,10 @@
 
     fn apply_rows(
         &mut self,
+        ctx: &Context<'_>,
         rows: Vec<Row>,
         snapshot: bool,
-        version: Version,
+        version: Position,
         confirmed: Option<Moment>,
         out: &mut Output,
     ) -> Vec<Row> {
@@ -558,37 +670,51 @@
                 self.follow_catalog(row, out);
             }
             match (&row.name, &row.value) {
-                (Name::Secret, Some(Value::Secret(secret)))
-                    if self.secret.as_ref() != Some(secret) =>
-                {
-                    self.secret = Some(secret.clone());
-                    out.push(Effect::SetSecret(secret.clone()));
+                (Name::Secret, Some(Value::Secret(secret))) => {
+                    self.secret_lost = false;
+                    if self.secret.as_ref() != Some(secret) {
+                        self.secret = Some(secret.clone());
+                        out.push(Effect::SetSecret(secret.clone()));
+                    }
                 }
                 (Name::Other(_), _) => {}
                 (name, Some(Value::Unusable(reason))) => {
                     let line = Record::new("row_unusable").with("row", name);
-                    out.log(line.with("version", row.version.0).with("reason", reason));
+                    out.log(line.with("version", row.version).with("reason", reason));
                 }
                 _ => {}
             }
         }
         self.version = Some(version);
         if let Some(confirmed) = confirmed {
-            self.confirm(confirmed);
+            self.confirm(ctx, confirmed, out);
         }
         rows
     }
 
     /// Records that the operators' rows were the newest at a time.
-    fn confirm(&mut self, at: Moment) {
+    fn confirm(&mut self, ctx: &Context<'_>, at: Moment, out: &mut Output) {
         if self.catalog.is_none() && !self.is_superseded {
             return;
         }
         self.unconfirmed = false;
         self.read_at = self.read_at.max(Some(at));
-        if !self.is_superseded {
-            self.freshness.confirm(at);
+        if self.is_superseded || !self.is_settled(at) {
+            return;
         }
+        self.freshness.confirm(at);
+        if std::mem::take(&mut self.is_unsettled) {
+            let waited = self.returned_at.map_or(Span::ZERO, |returned| ctx.at.since(returned));
+            out.log(Record::new("store_settled").with("era", self.era).with("after", waited));
+        }
+    }
+
+    /// Returns true if operators had written again by a time what the store lost when it
+    /// returned, as far as this VM can tell.
+    fn is_settled(&self, at: Moment) -> bool {
+        let Some(returned_at) = self.returned_at else { return true };
+        let in_force = self.catalog.as_ref().map(|catalog| catalog.revision());
+        returned_at + RETURN_SETTLE_TIME <= at && Some(self.peer_revision) <= in_force
     }
 
     /// Adopts the store's configuration, if it can be used and is newer than the one in
@@ -607,7 +733,7 @@
             return;
         }
         let event = if self.is_superseded { "catalog_superseded" } else { "catalog_confirmed" };
-        let line = Record::new(event).with("version", row.version.0);
+        let line = Record::new(event).with("version", row.version);
         let line = line.with("in_force", in_force.unwrap_or_default());
         out.log(match stored {
             Some(revision) => line.with("stored", revision),
@@ -644,7 +770,7 @@
     if update.rows.is_empty() {
         return;
     }
-    let line = Record::new("changes").with("from", from).with("version", update.version.0);
+    let line = Record::new("changes").with("from", from).with("version", update.version);
     let line = line.with("rows", update.rows.len());
     out.log(match age {
         Some(age) => line.with("age", age),
--- a/crates/gateway/src/target/evacuation.rs
+++ b/crates/gateway/src/target/evacuation.rs
@@ -3,6 +3,8 @@
 //! Operators say so by a row of the store, which is read with all others. VMs that learn of
 //! it otherwise than from a peer's report tell all peers at once. Versions decide: an older
 //! word, whichever way it comes, neither undoes a newer one nor brings an older one back.
+//! When the store has returned from a copy, what this VM knows holds for a while, in which
+//! operators write again what the store has lost.
 //!
 //! While a data centre is evacuated, its targets are no candidates, not even if no other
 //! target is left. Its engines still serve transfers.
@@ -11,14 +13,16 @@
 
 use briarshift_logging::Record;
 use briarshift_routing::readmission::Readmission;
-use briarshift_store::Version;
+use briarshift_store::Position;
 use briarshift_store::registry::Name;
-use briarshift_units::{DataCentre, PoolId};
+use briarshift_units::{DataCentre, Moment, PoolId};
 use briarshift_wire::datagram::Datagram;
 use briarshift_wire::evacuation::{Evacuation, Report};
 
 use super::{Entry, Query, State};
-use crate::limit::{MAX_KEPT_READMISSIONS, MAX_REPORTED_EVACUATIONS, READMISSION_TIME};
+use crate::limit::{
+    LOST_EVACUATION_TIME, MAX_KEPT_READMISSIONS, MAX_REPORTED_EVACUATIONS, READMISSION_TIME,
+};
 use crate::peer::News;
 use crate::sync::Update;
 use crate::{Context, Effect, Output, peer};
@@ -38,7 +42,7 @@
 /// The newest word on a data centre.
 #[derive(Debug, Clone, Copy)]
 struct Word {
-    version: Version,
+    version: Position,
     standing: Standing,
 }
 
@@ -47,6 +51,8 @@
 pub(super) struct Words {
     words: BTreeMap<DataCentre, Word>,
     news: News<Evacuation>,
+    /// When the store returned from a copy, and what that says otherwise than this VM knows.
+    doubted: Option<(Moment, Vec<Evacuation>)>,
 }
 
 impl Words {
@@ -92,6 +98,35 @@
         }
     }
 
+    /// Returns true if a word says otherwise than what is known of its data centre.
+    fn contradicts(&self, evacuation: &Evacuation) -> bool {
+        let known = self.words.get(&evacuation.data_centre);
+        known.is_some_and(|it| (it.standing == Standing::Evacuated) != evacuation.is_evacuated)
+    }
+
+    /// Leaves out of later words those that are doubted already, and forgets doubts about
+    /// which something else is said. Whether a row is missing or has just been deleted can't
+    /// be told apart, so that a data centre that operators take back meanwhile stays
+    /// evacuated until the doubts end.
+    fn keep_doubts(&mut self, read: &mut Vec<Evacuation>, is_snapshot: bool) {
+        let Some((_, doubted)) = &mut self.doubted else { return };
+        let is_same = |new: &Evacuation, old: &Evacuation| {
+            // A row of the copy has the same revision in each era.
+            let is_unchanged = !old.is_evacuated || new.version.revision == old.version.revision;
+            new.data_centre == old.data_centre
+                && new.is_evacuated == old.is_evacuated
+                && is_unchanged
+        };
+        doubted.retain(|old| {
+            let mut of_data_centre = read.iter().filter(|it| it.data_centre == old.data_centre);
+            match is_snapshot {
+                true => of_data_centre.any(|new| is_same(new, old)),
+                false => of_data_centre.all(|new| is_same(new, old)),
+            }
+        });
+        read.retain(|new| !doubted.iter().any(|old| is_same(new, old)));
+    }
+
     /// Returns the words that rows of the store contain. A snapshot without the row of an
     /// evacuated data centre says that it has been taken back.
     fn read(&self, update: &Update) -> Vec<Evacuation> {
@@ -103,7 +138,7 @@
                 read.push(Evacuation { data_centre, version, is_evacuated });
             }
         }
-        if update.snapshot {
+        if update.snapshot || update.has_returned {
             let is_missing = |(data_centre, word): &(&DataCentre, &Word)| {
                 word.standing == Standing::Evacuated
                     && !read.iter().any(|listed| listed.data_centre == **data_centre)
@@ -147,7 +182,15 @@
         tells_peers: bool,
         out: &mut Output,
     ) {
-        for evacuation in self.evacuations.read(update) {
+        let mut read = self.evacuations.read(update);
+        let tells_peers = tells_peers && !update.has_returned;
+        if update.has_returned {
+            let doubted = read.extract_if(.., |it| self.evacuations.contradicts(it)).collect();
+            self.evacuations.doubted = Some((ctx.at, doubted));
+        } else {
+            self.evacuations.keep_doubts(&mut read, update.snapshot);
+        }
+        for evacuation in read {
             if self.apply_evacuation(ctx, &evacuation, "store", out) && tells_peers {
                 self.evacuations.news.add(evacuation);
             }
@@ -182,7 +225,7 @@
             Record::new("evacuation")
                 .with("data_centre", data_centre)
                 .with("state", state)
-                .with("version", version.0)
+                .with("version", version)
                 .with("by", by)
                 .with("targets", targets.clone().count())
                 .with("requests", targets.clone().map(|entry| entry.requests).sum::<u32>()),
@@ -205,9 +248,17 @@
         }
     }
 
-    /// Tells peers what this VM has learned, and ends readmissions.
-    pub fn tick_evacuations(&mut self, ctx: &Context<'_>, peers: &peer::State, out: &mut Output) {
+    /// Tells peers what this VM has learned, and ends readmissions and doubts. `rows_at` is
+    /// when the rows were last known to be complete.
+    pub fn tick_evacuations(
+        &mut self,
+        ctx: &Context<'_>,
+        peers: &peer::State,
+        rows_at: Option<Moment>,
+        out: &mut Output,
+    ) {
         self.end_readmissions(ctx, out);
+        self.end_doubts(ctx, rows_at, out);
         let evacuations = self.evacuations.news.take_due(MAX_REPORTED_EVACUATIONS, ctx.at);
         if evacuations.is_empty() {
             return;
@@ -217,6 +268,22 @@
         out.push(Effect::Broadcast { addresses: peers.addresses(), datagram });
     }
 
+    /// Applies what the store said when it returned from a copy, if it says the same when
+    /// operators have had time to write again. While it is away once more, nobody knows.
+    fn end_doubts(&mut self, ctx: &Context<'_>, rows_at: Option<Moment>, out: &mut Output) {
+        let Some((at, _)) = self.evacuations.doubted else { return };
+        if rows_at.is_none_or(|rows_at| rows_at < at + LOST_EVACUATION_TIME) {
+            return;
+        }
+        for evacuation in self.evacuations.doubted.take().map_or_else(Vec::new, |it| it.1) {
+            let known = self.evacuations.words.get(&evacuation.data_centre);
+            if known.is_none_or(|word| word.version.era < evacuation.version.era) {
+                self.apply_evacuation(ctx, &evacuation, "copy", out);
+            }
+        }
+        self.set_standings();
+    }
+
     fn end_readmissions(&mut self, ctx: &Context<'_>, out: &mut Output) {
         let mut has_ended = false;
         for (data_centre, word) in &mut self.evacuations.words {
@@ -225,7 +292,7 @@
                 word.standing = Standing::InUse;
                 has_ended = true;
                 let line = Record::new("evacuation").with("data_centre", data_centre);
-                out.log(line.with("state", "in_use").with("version", word.version.0));
+                out.log(line.with("state", "in_use").with("version", word.version));
             }
         }
         if has_ended {
--- a/crates/gateway/src/target/mod.rs
+++ b/crates/gateway/src/target/mod.rs
@@ -20,7 +20,7 @@
 use briarshift_routing::health::Health;
 use briarshift_routing::pause::Pause;
 use briarshift_routing::selection::Candidate;
-use briarshift_store::Version;
+use briarshift_store::Position;
 use briarshift_store::registry::{Name, Row, Status, Target, Value};
 use briarshift_units::{
     DataCentre, Fingerprint, Moment, PartId, PoolId, RequestRate, Span, StartNumber, TargetId, VmId,
@@ -109,7 +109,10 @@
     speed: speed::Speed,
     /// Health, judged by the target's answers.
     pub health: Health,
-    version: Version,
+    version: Position,
+    /// The row may be a remnant of a copy from which the store returned. The target gets
+    /// nothing until its row is written again.
+    is_remnant: bool,
     reported_load: Option<(Load, Moment)>,
     /// The limit on requests that it names.
     limit: Option<limit::Active>,
@@ -134,7 +137,7 @@
 }
 
 impl Entry {
-    fn new(id: &TargetId, target: Target, version: Version) -> Self {
+    fn new(id: &TargetId, target: Target, version: Position) -> Self {
         Self {
             target,
             hash: TargetHash::of(id.as_str()),
@@ -145,6 +148,7 @@
             speed: speed::Speed::default(),
             health: Health::default(),
             version,
+            is_remnant: false,
             reported_load: None,
             limit: None,
             pause: None,
@@ -182,6 +186,7 @@
     /// Returns true if the target accepts requests, as far as this VM knows.
     pub fn is_ready(&self, now: Moment) -> bool {
         self.target.status == Status::Ready
+            && !self.is_remnant
             && !self.is_evacuated()
             && self.left_at.is_none()
             && self.ended_at.is_none()
@@ -192,6 +197,7 @@
     /// registration ended while the store was failing, or it has just begun to leave.
     fn is_last_resort(&self, now: Moment) -> bool {
         self.target.status == Status::Ready
+            && !self.is_remnant
             && !self.is_evacuated()
             && self.left_at.is_none_or(|at| now.since(at) < LAST_USE_OF_LEAVING)
             && !self.has_moved(now)
@@ -296,7 +302,11 @@
             let Name::Target(id) = &row.name else { continue };
             match &row.value {
                 Some(Value::Target(target)) => {
-                    self.upsert(ctx, id, target, row, out, &mut crashes);
+                    if update.has_returned && !is_first && self.is_doubtful(id, target) {
+                        self.keep_or_doubt(id, target, row, out);
+                    } else {
+                        self.upsert(ctx, id, target, row, out, &mut crashes);
+                    }
                 }
                 _ => {
                     let known = self.entries.get(id).map(|entry| entry.version);
@@ -313,6 +323,32 @@
         crashes
     }
 
+    /// Returns true if a row from the copy from which the store has returned says that a
+    /// target is ready, which may no longer be true.
+    fn is_doubtful(&self, id: &TargetId, target: &Target) -> bool {
+        let is_known = |entry: &Entry| target.start <= entry.target.start;
+        target.status == Status::Ready && self.entries.get(id).is_none_or(is_known)
+    }
+
+    /// Applies a row from the copy from which the store has returned. It may be older than
+    /// what this VM knows: a target that was ready stays so, one that has begun to leave does
+    /// not come back, and one that this VM doesn't know, or that has gone, is not used until
+    /// its row is written again.
+    fn keep_or_doubt(&mut self, id: &TargetId, target: &Target, row: &Row, out: &mut Output) {
+        let Some(entry) = self.entries.get_mut(id) else {
+            out.log(registration_record(id, target, row.version).with("remnant", true));
+            let mut entry = Entry::new(id, target.clone(), row.version);
+            entry.is_remnant = true;
+            self.ids_by_hash.insert(entry.hash, id.clone());
+            self.entries.insert(id.clone(), entry);
+            return;
+        };
+        entry.version = row.version;
+        if entry.target.start == target.start && entry.target.address == target.address {
+            entry.ended_at = None;
+        }
+    }
+
     fn upsert(
         &mut self,
         ctx: &Context<'_>,
@@ -360,6 +396,7 @@
             entry.learn_row(id, &self.cold, ctx.at, out);
         }
         entry.version = row.version;
+        entry.is_remnant = false;
         entry.ended_at = None;
         entry.moved_at = None;
     }
@@ -612,7 +649,7 @@
     }
 }
 
-fn registration_record(id: &TargetId, target: &Target, version: Version) -> Record {
+fn registration_record(id: &TargetId, target: &Target, version: Position) -> Record {
     let status = match target.status {
         Status::Ready => "ready",
         Status::Leaving => "leaving",
@@ -623,5 +660,5 @@
         .with("address", target.address)
         .with("data_centre", &target.data_centre)
         .with("standing", status)
-        .with("version", version.0)
+        .with("version", version)
 }
--- a/crates/gateway/tests/all/changes.rs
+++ b/crates/gateway/tests/all/changes.rs
@@ -1,18 +1,24 @@
-//! Changes in the store reach every VM in time, whatever happens to the other VMs.
+//! Changes in the store reach every VM in time, whatever happens to the other VMs, and to the
+//! store.
 //!
 //! Several reducers exchange datagrams and call a store in virtual time, while rows
 //! change and VMs are killed, paused, cut off and added. Pages of a snapshot are read
 //! one after the other, and may be stale. At each step, a VM that has been undisturbed
 //! for a while must know each change that is older than the bound, and nothing that
 //! it knows goes back.
+//!
+//! The store may come back from an older copy. Operators and targets then write theirs again
+//! within two seconds, and what had gone is gone from the copy after some more.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
 use briarshift_gateway::target::Entry;
 use briarshift_gateway::{Bounds, Effect, Event, Features, Identity, Kind, State};
-use briarshift_store::registry::{Call, Member, Name, Reply, Row, Secret, Status, Target, Value};
-use briarshift_store::{Error, Lease, LeaseId, Version};
+use briarshift_store::registry::{
+    Answer, Call, Member, Name, Reply, Row, Secret, Status, Target, Value,
+};
+use briarshift_store::{Era, Error, Lease, LeaseId, Position, Version};
 use briarshift_units::{MegabitsPerSecond, Moment, Revision, Span, StartNumber, TargetId};
 use briarshift_wire::datagram::Datagram;
 use proptest::prelude::{Strategy, any, prop};
@@ -33,6 +39,10 @@
 const EVACUEE: &str = "t-9";
 const EVACUATED: &str = "c";
 const MAX_VMS: usize = 6;
+/// Time within which operators and targets write again what the store has lost.
+const REWRITE_TIME: Span = Span::from_millis(1_900);
+/// Time after which a row of a target that is gone is deleted from the copy.
+const LAPSE_TIME: Span = Span::from_millis(3_600);
 
 #[derive(Debug, Clone)]
 enum Action {
@@ -51,6 +61,11 @@
     VmLosesItsPeers(usize, Span),
     VmIsAdded,
     HistoryIsLost,
+    /// The store is down for a while, and comes back from a copy of this age.
+    StoreReturns {
+        down: Span,
+        age: Span,
+    },
 }
 
 fn action() -> impl Strategy<Value = Action> {
@@ -72,6 +87,7 @@
         2 => (vm(), time()).prop_map(|(vm, time)| Action::VmLosesItsPeers(vm, time)),
         1 => proptest::strategy::Just(Action::VmIsAdded),
         1 => proptest::strategy::Just(Action::HistoryIsLost),
+        2 => (time(), time()).prop_map(|(down, age)| Action::StoreReturns { down, age }),
     ]
 }
 
@@ -81,11 +97,17 @@
     log: Vec<(Moment, Row)>,
     /// Changes up to this version have been dropped.
     dropped: u64,
+    era: u64,
+    down_until: Moment,
 }
 
 impl Store {
     fn version(&self, at: Moment) -> u64 {
-        self.log.iter().take_while(|(time, _)| *time <= at).last().map_or(0, |it| it.1.version.0)
+        self.log
+            .iter()
+            .take_while(|(time, _)| *time <= at)
+            .last()
+            .map_or(0, |it| it.1.version.revision)
     }
 
     fn rows(&self, at: Moment) -> BTreeMap<Name, Row> {
@@ -99,23 +121,34 @@
         rows
     }
 
+    /// Loses all that was written after a time.
+    fn return_to(&mut self, at: Moment) {
+        self.log.retain(|(time, _)| *time <= at);
+        self.dropped = self.dropped.min(self.version(at));
+        self.era += 1;
+    }
+
+    fn position(&self, revision: u64) -> Position {
+        Position { era: Era(self.era), revision }
+    }
+
     fn put(&mut self, name: Name, value: Option<Value>, now: Moment) {
         let rows = self.rows(now);
         let known = rows.get(&name);
         if known.is_none() && value.is_none() {
             return;
         }
-        let version = Version(self.version(now) + 1);
+        let version = self.position(self.version(now) + 1);
         let created = match (&value, known) {
             (None, _) => Version(0),
-            (_, known) => known.map_or(version, |row| row.created),
+            (_, known) => known.map_or(Version(version.revision), |row| row.created),
         };
         self.log.push((now, Row { name, version, created, value }));
     }
 
     fn changes(&self, after: u64, at: Moment) -> BTreeMap<Name, Row> {
         let log = self.log.iter().take_while(|(time, _)| *time <= at);
-        let new = log.filter(|(_, row)| after < row.version.0);
+        let new = log.filter(|(_, row)| after < row.version.revision);
         new.map(|(_, row)| (row.name.clone(), row.clone())).collect()
     }
 
@@ -127,9 +160,12 @@
         draw: &mut impl FnMut(u64) -> u64,
     ) -> Result<Reply, Error> {
         let version = self.version(at);
-        let reply = |rows: BTreeMap<Name, Row>, version| {
-            let rows = rows.into_values().collect();
-            Ok(Reply::Rows { rows, version: Version(version) })
+        let era = Era(self.era);
+        // Rows of the copy are of this era too.
+        let in_era = move |row: Row| Row { version: Position { era, ..row.version }, ..row };
+        let reply = |rows: BTreeMap<Name, Row>, revision| {
+            let rows = rows.into_values().map(in_era).collect();
+            Ok(Reply::Rows { rows, version: Position { era, revision } })
         };
         match call {
             Call::ReadAll { newest } => {
@@ -144,7 +180,7 @@
                         std::ops::Bound::Unbounded,
                     ));
                     let page: Vec<_> = page.take(PAGE_ROWS).map(|(_, row)| row.clone()).collect();
-                    let newest_row = page.iter().map(|row| row.version.0).max().unwrap_or(0);
+                    let newest_row = page.iter().map(|row| row.version.revision).max().unwrap_or(0);
                     complete = complete.min(if *newest { self.version(at) } else { newest_row });
                     last = page.last().map(|row| row.name.clone());
                     let is_last = page.len() < PAGE_ROWS;
@@ -154,13 +190,17 @@
                     }
                 }
             }
-            Call::ReadChanges { after, .. } if after.0 < self.dropped => Err(Error::Compacted),
-            Call::ReadChanges { after, .. } => reply(self.changes(after.0, at), version),
+            Call::ReadChanges { after, .. }
+                if after.revision < self.dropped || version < after.revision =>
+            {
+                Err(Error::Compacted)
+            }
+            Call::ReadChanges { after, .. } => reply(self.changes(after.revision, at), version),
             Call::ReadCatalog { after } => {
                 // Without the history, the reply does not tell which rows were deleted.
-                let mut rows = match after.0 < self.dropped {
+                let mut rows = match after.revision < self.dropped || version < after.revision {
                     true => self.rows(at),
-                    false => self.changes(after.0, at),
+                    false => self.changes(after.revision, at),
                 };
                 rows.retain(|name, _| matches!(name, Name::Catalog | Name::Evacuation(_)));
                 reply(rows, version)
@@ -191,11 +231,22 @@
     revision: Revision,
     /// Index of the change of [`Facts::evacuations`] that it knows, the earliest possible.
     evacuation: usize,
+    /// Starts of targets of which it has known that they accept nothing.
+    gone: BTreeSet<(TargetId, Option<StartNumber>)>,
+}
+
+/// What is written again after the store has lost it.
+enum Rewrite {
+    Config,
+    Evacuation,
+    Target(usize),
+    /// A target's row that nobody writes again is deleted.
+    Lapse(usize),
 }
 
 enum Delivery {
     Datagram(Datagram),
-    Reply { call: Call, sent: Moment, result: Result<Reply, Error> },
+    Reply { call: Call, sent: Moment, answer: Answer },
 }
 
 /// What must be known to all VMs, and since when it has been so.
@@ -215,6 +266,9 @@
     vms: Vec<Vm>,
     /// Deliveries by time; each with the VM and its start number.
     queue: BTreeMap<(Moment, u64), (usize, u64, Delivery)>,
+    rewrites: Vec<(Moment, Rewrite)>,
+    /// The latest row of each target, however the store has returned since.
+    targets: BTreeMap<usize, Option<Value>>,
     facts: Facts,
     revision: u64,
     starts: u64,
@@ -230,6 +284,8 @@
             store: Store::default(),
             vms: Vec::new(),
             queue: BTreeMap::new(),
+            rewrites: Vec::new(),
+            targets: BTreeMap::new(),
             facts: Facts::default(),
             revision: 0,
             starts: 1,
@@ -271,6 +327,7 @@
         let Value::Target(row) = target(TARGETS[index], "desk") else { unreachable!() };
         let start = Some(StartNumber(self.starts));
         let value = Value::Target(Target { status, start, ..row });
+        self.targets.insert(index, Some(value.clone()));
         self.store.put(Self::target_name(index), Some(value), self.now);
         let id: TargetId = TARGETS[index].parse().unwrap();
         if status == Status::Ready {
@@ -281,6 +338,7 @@
     }
 
     fn remove_target(&mut self, index: usize) {
+        self.targets.insert(index, None);
         self.store.put(Self::target_name(index), None, self.now);
         self.facts.gone.entry(TARGETS[index].parse().unwrap()).or_insert(self.now);
     }
@@ -307,6 +365,7 @@
                 disturbed_until: self.now,
                 revision: Revision(0),
                 evacuation: 0,
+                gone: BTreeSet::new(),
             });
         }
     }
@@ -326,6 +385,51 @@
         Identity { vm, start, data_centre, address, link, secret, bounds, features }
     }
 
+    /// Lets the store be down, and return from a copy that is `age` older. What was written
+    /// since is written again by those who wrote it, except by the fleet.
+    fn return_store(&mut self, down: Span, age: Span) {
+        let copied_at = Moment(self.now.0.saturating_sub(age.0).max(10_000_000));
+        self.store.down_until = self.now + down;
+        self.store_disturbed_until = self.now + down + REWRITE_TIME + LAPSE_TIME;
+        self.run(down);
+        self.store.return_to(copied_at);
+        let mut again = vec![Rewrite::Config, Rewrite::Evacuation];
+        again.extend((0..TARGETS.len()).map(Rewrite::Target));
+        for rewrite in again {
+            let at = self.now + Span(self.draw(REWRITE_TIME.0));
+            self.rewrites.push((at, rewrite));
+        }
+        let lapses_at = self.now + LAPSE_TIME;
+        self.rewrites.extend((0..TARGETS.len()).map(|index| (lapses_at, Rewrite::Lapse(index))));
+    }
+
+    fn rewrite(&mut self, rewrite: &Rewrite) {
+        let rows = self.store.rows(self.now);
+        match rewrite {
+            Rewrite::Config => {
+                let stored = rows.get(&Name::Catalog).map(|row| row.value.clone());
+                let latest = catalog(self.revision, KEY);
+                if stored != Some(Some(latest.clone())) {
+                    self.store.put(Name::Catalog, Some(latest), self.now);
+                }
+            }
+            Rewrite::Evacuation => {
+                let is_evacuated = self.facts.evacuations.last().is_some_and(|it| it.1);
+                self.set_evacuated(is_evacuated);
+            }
+            Rewrite::Target(index) => {
+                if let Some(Some(value)) = self.targets.get(index).cloned() {
+                    self.store.put(Self::target_name(*index), Some(value), self.now);
+                }
+            }
+            Rewrite::Lapse(index) => {
+                if self.targets.get(index) == Some(&None) {
+                    self.store.put(Self::target_name(*index), None, self.now);
+                }
+            }
+        }
+    }
+
     fn act(&mut self, action: &Action) {
         let now = self.now;
         match *action {
@@ -340,23 +444,26 @@
                 self.write_target(index, Status::Ready);
             }
             Action::TargetLapses(index) => {
+                let value = self.targets.get(&index).cloned().flatten();
                 if let Some(row) = self.store.rows(now).remove(&Self::target_name(index)) {
                     self.store.put(row.name.clone(), None, now);
-                    self.store.put(row.name, row.value, now);
+                    self.store.put(row.name, value, now);
                 }
             }
             Action::TargetRewrites(index) => {
-                if let Some(row) = self.store.rows(now).remove(&Self::target_name(index)) {
-                    self.store.put(row.name, row.value, now);
+                let value = self.targets.get(&index).cloned().flatten();
+                if self.store.rows(now).contains_key(&Self::target_name(index)) {
+                    self.store.put(Self::target_name(index), value, now);
                 }
             }
             Action::ConfigChanges(times) => (0..times).for_each(|_| self.change_config()),
             Action::Evacuate => self.set_evacuated(true),
             Action::TakeBack => self.set_evacuated(false),
             Action::VmIsAdded => self.add_vm(),
+            Action::StoreReturns { down, age } => self.return_store(down, age),
             Action::HistoryIsLost => {
                 self.store.dropped = self.store.version(now);
-                self.store_disturbed_until = now;
+                self.store_disturbed_until = self.store_disturbed_until.max(now);
             }
             Action::VmIsKilled(index, time) => {
                 if index < self.vms.len() {
@@ -366,6 +473,7 @@
                     vm.start = self.starts;
                     vm.revision = Revision(0);
                     vm.evacuation = 0;
+                    vm.gone.clear();
                     vm.down_until = now + time;
                     vm.disturbed_until = vm.disturbed_until.max(now + time);
                 }
@@ -393,6 +501,9 @@
         let end = self.now + length;
         while self.now < end {
             self.now = self.now + STEP;
+            let due = |it: &mut (Moment, Rewrite)| it.0 <= self.now;
+            let due: Vec<_> = self.rewrites.extract_if(.., due).collect();
+            due.iter().for_each(|(_, rewrite)| self.rewrite(rewrite));
             while let Some(entry) = self.queue.first_entry() {
                 if self.now < entry.key().0 {
                     break;
@@ -424,8 +535,8 @@
             }
             Delivery::Datagram(_) if self.now < to.down_until.max(to.no_peers_until) => {}
             Delivery::Datagram(datagram) => self.apply(vm, Kind::Datagram(datagram)),
-            Delivery::Reply { call, sent, result } => {
-                self.apply(vm, Kind::Store { call, sent, result });
+            Delivery::Reply { call, sent, answer } => {
+                self.apply(vm, Kind::Store { call, sent, answer });
             }
         }
     }
@@ -473,13 +584,18 @@
             (random >> 33) % below.max(1)
         };
         let is_cut_off = sent < self.vms[vm].no_store_until;
-        let (result, back) = match is_cut_off {
-            true => (Err(Error::Unknown("cut off".into())), Span::from_millis(900)),
+        let era = Some(Era(self.store.era));
+        let (answer, back) = if is_cut_off {
+            let result = Err(Error::Unknown("cut off".into()));
+            (Answer { era: None, result }, Span::from_millis(900))
+        } else if sent < self.store.down_until {
+            (Answer { era, result: Err(Error::Refused("503".into())) }, back)
+        } else {
             // Nothing is written between the sending of a call and its execution here.
-            false => (self.store.execute(&call, sent, &mut draw), back),
+            (Answer { era, result: self.store.execute(&call, sent, &mut draw) }, back)
         };
         let (at, start) = (sent + there + back, self.vms[vm].start);
-        self.enqueue(at, vm, start, Delivery::Reply { call, sent, result });
+        self.enqueue(at, vm, start, Delivery::Reply { call, sent, answer });
     }
 
     fn check(&mut self) {
@@ -498,6 +614,25 @@
                 assert!(next.is_some(), "vm-{index} went back: evacuated {known}");
                 vm.evacuation += next.unwrap_or_default();
             }
+            // A target that has left does not come back with a copy.
+            for id in TARGETS.map(|id| id.parse::<TargetId>().unwrap()) {
+                let Some(entry) = vm.state.targets().get(&id) else { continue };
+                let start = (id, entry.target.start);
+                let uses_again = entry.is_ready(now) && vm.gone.contains(&start);
+                assert!(!uses_again, "vm-{index} uses {start:?} again");
+                if entry.target.status == Status::Leaving {
+                    vm.gone.insert(start);
+                }
+            }
+            // What a VM takes for the newest configuration was that when it says.
+            let age = Span::from_millis(vm.state.status(now).confirmed_ms_ago);
+            let confirmed_at = Moment(now.0.saturating_sub(age.0.saturating_add(1_000)));
+            let newest = self.facts.revisions.iter().rev().find(|(at, _)| *at < confirmed_at);
+            let newest = Revision(newest.map_or(0, |(_, revision)| *revision));
+            assert!(
+                newest <= revision,
+                "vm-{index} confirms {revision} at {confirmed_at}, {newest}"
+            );
             if !is_stable || now.since(vm.disturbed_until) < STABLE_WINDOW {
                 continue;
             }
--- a/crates/gateway/tests/all/configuration.rs
+++ b/crates/gateway/tests/all/configuration.rs
@@ -5,6 +5,7 @@
 use briarshift_catalog::{Catalog, Route};
 use briarshift_gateway::Kind;
 use briarshift_gateway::request::Cause;
+use briarshift_store::Position;
 use briarshift_store::registry::{Name, Value};
 use briarshift_units::{Moment, Revision, Span};
 use briarshift_wire::datagram::Datagram;
@@ -63,7 +64,8 @@
 #[test]
 fn peers_are_told_how_recent_the_rows_are() {
     let mut world = replaced(Some(unusable()));
-    let request = Request { from: "vm-2".parse().unwrap(), sent_at: Moment(5), after: 0 };
+    let request =
+        Request { from: "vm-2".parse().unwrap(), sent_at: Moment(5), after: Position::first(0) };
     let Response { age, .. } = response(&mut world, request);
     assert_eq!(age, Span::ZERO);
 }
@@ -72,7 +74,7 @@
 #[test]
 fn a_peer_does_not_confirm_a_configuration_that_the_store_has_replaced() {
     let mut world = replaced(Some(unusable()));
-    let after = world.version() - 1;
+    let after = Position::first(world.version() - 1);
     let request = Request { from: "vm-2".parse().unwrap(), sent_at: Moment(5), after };
     let rows = response(&mut world, request).rows.unwrap();
     assert_eq!(rows.len(), 1);
--- a/crates/gateway/tests/all/delegate.rs
+++ b/crates/gateway/tests/all/delegate.rs
@@ -3,7 +3,7 @@
 use briarshift_gateway::Kind;
 use briarshift_gateway::request::Cause;
 use briarshift_store::registry::{Call, Name, Reply, Row, Value};
-use briarshift_store::{Error, Version};
+use briarshift_store::{Error, Position, Version};
 use briarshift_units::{Moment, Revision, Span};
 use briarshift_wire::datagram::Datagram;
 use briarshift_wire::sync::{Request, Response};
@@ -57,7 +57,7 @@
     Response {
         from,
         request_sent_at: at,
-        version: 12,
+        version: Position::first(12),
         age,
         rows_age: Some(age),
         store_failing: true,
@@ -70,7 +70,7 @@
     Response {
         from: "vm-1".parse().unwrap(),
         request_sent_at: Moment(0),
-        version: 1_000,
+        version: Position::first(1_000),
         age: Span::ZERO,
         rows_age: Some(Span::ZERO),
         store_failing: false,
@@ -109,7 +109,7 @@
 fn a_response_confirms_the_configuration_as_of_its_age() {
     let (mut world, request) = requesting_vm();
     let value = Some(catalog(9, "key-2"));
-    let (version, created) = (Version(1_000), Version(1));
+    let (version, created) = (Position::first(1_000), Version(1));
     let rows = Some(vec![Row { name: Name::Catalog, version, created, value }]);
     let age = Span::from_millis(400);
     let response = Response { age, rows_age: Some(age), ..response(rows) };
@@ -128,7 +128,7 @@
     let response = Response {
         from: "vm-9".parse().unwrap(),
         request_sent_at: request.sent_at,
-        version: 5_000,
+        version: Position::first(5_000),
         age: Span::ZERO,
         rows_age: Some(Span::ZERO),
         store_failing: false,
@@ -256,7 +256,7 @@
             let response = Response {
                 from: "vm-2".parse().unwrap(),
                 request_sent_at: at,
-                version: 40,
+                version: Position::first(40),
                 age: Span::from_millis(300),
                 rows_age: Some(Span::from_millis(300)),
                 store_failing: false,
@@ -298,7 +298,7 @@
     world.change_row(Name::Member("vm-2".parse().unwrap()), Some(member("vm-2")));
     world.advance(300);
     let from = "vm-2".parse().unwrap();
-    let request = Request { from, sent_at: Moment(77), after: 12 };
+    let request = Request { from, sent_at: Moment(77), after: Position::first(12) };
     world.apply(Kind::Datagram(Datagram::SyncRequest(request)));
     let Some(Datagram::SyncResponse(response)) = world.datagrams.last() else { panic!() };
     assert_eq!((response.request_sent_at, response.age), (Moment(77), Span::from_millis(300)));
@@ -307,7 +307,7 @@
 
 fn target_row(id: &str, version: u64, created: u64, value: Option<Value>) -> Row {
     let name = Name::Target(id.parse().unwrap());
-    Row { name, version: Version(version), created: Version(created), value }
+    Row { name, version: Position::first(version), created: Version(created), value }
 }
 
 /// Returns a delegate that has read a snapshot with these rows, complete up to version
@@ -316,13 +316,14 @@
     let mut world = World::empty("vm-1");
     world.tick();
     let name = Name::Member("vm-2".parse().unwrap());
-    let peer = Row { name, version: Version(9), created: Version(9), value: Some(member("vm-2")) };
+    let peer =
+        Row { name, version: Position::first(9), created: Version(9), value: Some(member("vm-2")) };
     let (name, value) = (Name::Catalog, Some(catalog(1, KEY)));
-    let catalog = Row { name, version: Version(10), created: Version(1), value };
+    let catalog = Row { name, version: Position::first(10), created: Version(1), value };
     let rows = [peer, catalog].into_iter().chain(snapshot).collect();
-    let reply = |rows, version| Reply::Rows { rows, version: Version(version) };
+    let reply = |rows, version| Reply::Rows { rows, version: Position::first(version) };
     world.reply(Call::ReadAll { newest: false }, reply(rows, 20));
-    world.reply(Call::ReadCatalog { after: Version(20) }, reply(Vec::new(), 20));
+    world.reply(Call::ReadCatalog { after: Position::first(20) }, reply(Vec::new(), 20));
     if !changes_read.is_empty() {
         world.reply(changes(), reply(changes_read, 30));
     }
@@ -332,7 +333,11 @@
 /// Returns the rows that the VM sends to a peer that is complete up to a version, each
 /// with whether it exists; `None` if it does not have all of them.
 fn rows_for_peer(world: &mut World, after: u64) -> Option<Vec<(String, bool)>> {
-    let request = Request { from: "vm-2".parse().unwrap(), sent_at: Moment(77), after };
+    let request = Request {
+        from: "vm-2".parse().unwrap(),
+        sent_at: Moment(77),
+        after: Position::first(after),
+    };
     world.apply(Kind::Datagram(Datagram::SyncRequest(request)));
     let Some(Datagram::SyncResponse(response)) = world.datagrams.last() else { panic!() };
     let rows = response.rows.as_ref()?.iter();
@@ -362,7 +367,7 @@
 fn the_second_deletion_of_a_row_reaches_peers() {
     let deletion = |version| vec![target_row("t-1", version, 0, None)];
     let mut world = delegate(Vec::new(), deletion(22));
-    let reply = Reply::Rows { rows: deletion(38), version: Version(40) };
+    let reply = Reply::Rows { rows: deletion(38), version: Position::first(40) };
     world.reply(changes(), reply);
     assert_eq!(rows_for_peer(&mut world, 35), Some(vec![("target:t-1".to_owned(), false)]));
 }
@@ -387,7 +392,7 @@
     let mut world = delegate(Vec::new(), vec![target_row("t-1", 28, 0, None)]);
     world.apply(heartbeat("vm-2", 1));
     world.reply_rows(changes(), Err(Error::Compacted));
-    let reply = Reply::Rows { rows: Vec::new(), version: Version(40) };
+    let reply = Reply::Rows { rows: Vec::new(), version: Position::first(40) };
     world.reply(Call::ReadAll { newest: true }, reply);
     assert_eq!(rows_for_peer(&mut world, 35), None);
     assert!(rows_for_peer(&mut world, 30).is_some());
@@ -414,7 +419,11 @@
     let mut sent_at = vec![request.sent_at];
     while !world.calls.iter().any(|call| matches!(call, Call::ReadChanges { .. })) {
         for at in std::mem::take(&mut sent_at) {
-            let response = Response { version: 0, rows_age: None, ..response(Some(Vec::new())) };
+            let response = Response {
+                version: Position::first(0),
+                rows_age: None,
+                ..response(Some(Vec::new()))
+            };
             respond(&mut world, at, &response);
         }
         world.datagrams.clear();
@@ -448,7 +457,7 @@
     let response = Response {
         from: "vm-2".parse().unwrap(),
         request_sent_at: *request_times(&world).last().unwrap(),
-        version: 20,
+        version: Position::first(20),
         age: Span::ZERO,
         rows_age: Some(Span::from_millis(950)),
         store_failing: false,
--- a/crates/gateway/tests/all/evacuation.rs
+++ b/crates/gateway/tests/all/evacuation.rs
@@ -6,7 +6,7 @@
 use briarshift_gateway::request::{Arrival, Cause, Decision, End, Event as Request, Send};
 use briarshift_gateway::target::Report as TargetReport;
 use briarshift_store::registry::{Call, Name, Reply, Row, Target, Value};
-use briarshift_store::{Error, Version};
+use briarshift_store::{Error, Position, Version};
 use briarshift_units::{Moment, Span};
 use briarshift_wire::datagram::Datagram;
 use briarshift_wire::evacuation::{Evacuation, Report};
@@ -115,7 +115,8 @@
 /// A report of the peer `vm-2`.
 fn report(data_centre: &str, version: u64, is_evacuated: bool) -> Kind {
     let data_centre = data_centre.parse().unwrap();
-    let evacuations = vec![Evacuation { data_centre, version: Version(version), is_evacuated }];
+    let evacuations =
+        vec![Evacuation { data_centre, version: Position::first(version), is_evacuated }];
     let report = Report { from: "vm-2".parse().unwrap(), evacuations };
     Kind::Datagram(Datagram::EvacuationReport(report))
 }
@@ -131,9 +132,9 @@
     let read = Call::ReadAll { newest: true };
     let rows = ["a-1", "b-1"].map(|id| {
         let (name, value) = (Name::Target(id.parse().unwrap()), target_in(id, &id[..1]));
-        Row { name, version: Version(version), created: Version(1), value: Some(value) }
+        Row { name, version: Position::first(version), created: Version(1), value: Some(value) }
     });
-    let reply = |version| Reply::Rows { rows: rows.to_vec(), version: Version(version) };
+    let reply = |version| Reply::Rows { rows: rows.to_vec(), version: Position::first(version) };
     world.reply(read.clone(), reply(version + 4));
     assert_eq!(chosen(&mut world), "b");
     world.reply(read, reply(version + 6));
@@ -151,15 +152,17 @@
     world.reply_rows(changes(), Err(Error::Compacted));
     assert_eq!(chosen(&mut world), "b");
     let row = |name, version, value| {
-        let (version, created) = (Version(version), Version(version));
+        let (version, created) = (Position::first(version), Version(version));
         Row { name, version, created, value: Some(value) }
     };
     let read = |world: &mut World, rows: Vec<Row>, version| {
         let targets = ["a-1", "b-1"]
             .map(|id| row(Name::Target(id.parse().unwrap()), written, target_in(id, &id[..1])));
         let rows = rows.into_iter().chain(targets).collect();
-        world
-            .reply(Call::ReadAll { newest: true }, Reply::Rows { rows, version: Version(version) });
+        world.reply(
+            Call::ReadAll { newest: true },
+            Reply::Rows { rows, version: Position::first(version) },
+        );
     };
     read(&mut world, vec![row(evacuation("a"), written, Value::Evacuation)], written + 5);
     assert_eq!(chosen(&mut world), "b");
@@ -176,10 +179,11 @@
     let mut world = World::empty("vm-1");
     world.tick();
     world.read_unconfirmed(&["a-1"]);
-    let (name, version) = (evacuation("a"), Version(world.version() + 1));
-    let row = Row { name, version, created: version, value: Some(Value::Evacuation) };
+    let (name, version) = (evacuation("a"), Position::first(world.version() + 1));
+    let row =
+        Row { name, version, created: Version(version.revision), value: Some(Value::Evacuation) };
     assert_eq!(expect_refusal(world.arrive("/safe/a")), Cause::Stale);
-    world.reply_rows(Call::ReadCatalog { after: Version(0) }, Ok(vec![row]));
+    world.reply_rows(Call::ReadCatalog { after: Position::first(0) }, Ok(vec![row]));
     assert_eq!(expect_refusal(world.arrive("/safe/a")), Cause::Evacuated);
 }
 
--- a/crates/gateway/tests/all/fleet.rs
+++ b/crates/gateway/tests/all/fleet.rs
@@ -7,13 +7,13 @@
 use briarshift_gateway::request::{Arrival, Decision, End, Event as Request, Send};
 use briarshift_gateway::{Bounds, Effect, Event, Features, Identity, Kind, State};
 use briarshift_store::registry::{Call, Member, Name, Reply, Row, Secret, Target, Value};
-use briarshift_store::{Error, Lease, LeaseId, Version};
+use briarshift_store::{Error, Lease, LeaseId, Position, Version};
 use briarshift_units::{
     Fingerprint, MegabitsPerSecond, Moment, RequestId, Span, StartNumber, TargetId,
 };
 use briarshift_wire::datagram::Datagram;
 
-use crate::world::{KEY, bounds, catalog, target};
+use crate::world::{KEY, answer, bounds, catalog, target};
 
 /// Time between two events of the fleet.
 const STEP: Span = Span::from_millis(25);
@@ -79,7 +79,7 @@
             .zip(rows)
             .map(|(version, (name, value))| Row {
                 name,
-                version: Version(version),
+                version: Position::first(version),
                 created: Version(version),
                 value: Some(value),
             })
@@ -110,7 +110,7 @@
         for member in members {
             let address = member.address;
             fleet.vms.insert(address, State::new(identity(member)));
-            let version = Version(rows.len() as u64);
+            let version = Position::first(rows.len() as u64);
             let reply = Reply::Rows { rows: rows.clone(), version };
             fleet.reply(address, Call::ReadAll { newest: true }, reply);
             let reply = Reply::Rows { rows: Vec::new(), version };
@@ -120,7 +120,7 @@
     }
 
     fn reply(&mut self, vm: SocketAddr, call: Call, reply: Reply) {
-        self.apply(vm, Kind::Store { call, sent: self.now, result: Ok(reply) });
+        self.apply(vm, Kind::Store { call, sent: self.now, answer: answer(Ok(reply)) });
     }
 
     fn apply(&mut self, vm: SocketAddr, kind: Kind) {
@@ -198,8 +198,8 @@
     pub fn write(&mut self, name: Name, value: Option<Value>) {
         self.version += 1;
         self.rows.retain(|row| row.name != name);
-        let version = Version(self.version);
-        let created = if value.is_some() { version } else { Version(0) };
+        let version = Position::first(self.version);
+        let created = Version(if value.is_some() { self.version } else { 0 });
         self.rows.push(Row { name, version, created, value });
     }
 
@@ -234,12 +234,14 @@
             if self.stopped.contains(&vm) {
                 continue;
             }
-            let version = Version(self.version);
+            let version = Position::first(self.version);
             let rows = Ok(Reply::Rows { rows: self.read(&call), version });
             let lease = Lease { id: LeaseId(1), ttl: Span::from_secs(30) };
             let result = match &call {
                 _ if self.cut_from_store.contains(&vm) => Err(Error::Unknown("cut off".into())),
-                Call::ReadChanges { after, .. } if after.0 < self.history => Err(Error::Compacted),
+                Call::ReadChanges { after, .. } if after.revision < self.history => {
+                    Err(Error::Compacted)
+                }
                 Call::ReadAll { .. } | Call::ReadChanges { .. } | Call::ReadCatalog { .. } => rows,
                 Call::Grant { .. } | Call::Renew { .. } => Ok(Reply::Leased(lease)),
                 _ => Ok(Reply::Done),
@@ -249,7 +251,7 @@
                 self.reads += 1;
                 self.readers.insert(vm);
             }
-            self.apply(vm, Kind::Store { call, sent, result });
+            self.apply(vm, Kind::Store { call, sent, answer: answer(result) });
         }
     }
 
--- a/crates/gateway/tests/all/world.rs
+++ b/crates/gateway/tests/all/world.rs
@@ -10,8 +10,10 @@
 use briarshift_routing::retry_window::Budget;
 use briarshift_routing::room::Length;
 use briarshift_routing::selection::{Bound, Part};
-use briarshift_store::registry::{Call, Member, Name, Reply, Row, Secret, Status, Target, Value};
-use briarshift_store::{Error, Version};
+use briarshift_store::registry::{
+    Answer, Call, Member, Name, Reply, Row, Secret, Status, Target, Value,
+};
+use briarshift_store::{Era, Error, Position, Version};
 use briarshift_units::{
     Fingerprint, MegabitsPerSecond, Moment, RequestId, Revision, Span, StartNumber,
 };
@@ -137,7 +139,7 @@
 
     /// Replies that the configuration has not changed.
     pub fn confirm_catalog(&mut self) {
-        self.reply_rows(Call::ReadCatalog { after: Version(0) }, Ok(Vec::new()));
+        self.reply_rows(Call::ReadCatalog { after: Position::first(0) }, Ok(Vec::new()));
     }
 
     /// Like [`World::read`], with one more row.
@@ -168,14 +170,19 @@
 
     /// Replies to a call that was sent now with rows or an error.
     pub fn reply_rows(&mut self, call: Call, rows: Result<Vec<Row>, Error>) {
-        let version = Version(self.version);
+        let version = Position::first(self.version);
         let result = rows.map(|rows| Reply::Rows { rows, version });
-        self.apply(Kind::Store { call, sent: self.now, result });
+        self.answer(call, result);
     }
 
     /// Replies to a call that was sent now with another answer.
     pub fn reply(&mut self, call: Call, reply: Reply) {
-        self.apply(Kind::Store { call, sent: self.now, result: Ok(reply) });
+        self.answer(call, Ok(reply));
+    }
+
+    /// Answers a call that was sent now.
+    fn answer(&mut self, call: Call, result: Result<Reply, Error>) {
+        self.apply(Kind::Store { call, sent: self.now, answer: answer(result) });
     }
 
     pub fn fail_store(&mut self) {
@@ -189,7 +196,7 @@
 
     fn row(&mut self, name: Name, value: Option<Value>) -> Row {
         self.version += 1;
-        Row { name, version: Version(self.version), created: Version(1), value }
+        Row { name, version: Position::first(self.version), created: Version(1), value }
     }
 
     /// Lets a request arrive and returns the decision on it.
@@ -228,6 +235,11 @@
     }
 }
 
+/// Returns the answer of a store in its first era.
+pub fn answer(result: Result<Reply, Error>) -> Answer {
+    Answer { era: Some(Era(0)), result }
+}
+
 /// Returns bits that look random and are the same in each run.
 fn pseudorandom(number: u64) -> u64 {
     let number = number.wrapping_mul(0x9e37_79b9_7f4a_7c15);
@@ -252,7 +264,7 @@
 }
 
 pub fn changes() -> Call {
-    Call::ReadChanges { after: Version(0), wait: Span::ZERO }
+    Call::ReadChanges { after: Position::first(0), wait: Span::ZERO }
 }
 
 pub fn interrupted() -> End {
--- a/crates/model/src/fleet/mod.rs
+++ b/crates/model/src/fleet/mod.rs
@@ -11,7 +11,8 @@
 
 use briarshift_gateway::{Kind, State};
 use briarshift_routing::cache::Prefix;
-use briarshift_store::registry::{Call, Name, Status};
+use briarshift_store::Era;
+use briarshift_store::registry::{Answer, Call, Name, Status};
 use briarshift_units::{Moment, Span};
 use fastrand::Rng;
 
@@ -174,8 +175,8 @@
             Action::Deadline(caller, attempts) => self.expire(caller, attempts),
             Action::Deliver(vm, kind) => self.deliver(vm, kind),
             Action::StoreCall(vm, call, sent) => {
-                let result = self.store.answer(&call);
-                self.deliver(vm, Kind::Store { call, sent, result });
+                let answer = Answer { era: Some(Era(0)), result: self.store.answer(&call) };
+                self.deliver(vm, Kind::Store { call, sent, answer });
             }
             Action::Receive(job) => self.receive(job),
             Action::StepEngine(target) => self.step_engine(target),
--- a/crates/model/src/store.rs
+++ b/crates/model/src/store.rs
@@ -4,7 +4,7 @@
 
 use briarshift_catalog::Catalog;
 use briarshift_store::registry::{Call, Name, Reply, Row, Value};
-use briarshift_store::{Error, Lease, LeaseId, Version};
+use briarshift_store::{Error, Lease, LeaseId, Position, Version};
 use briarshift_units::Span;
 
 /// Rows and their versions. Leases don't expire, because simulations are short.
@@ -26,18 +26,23 @@
     /// Writes a row, or deletes it if `value` is `None`.
     pub(crate) fn put(&mut self, name: Name, value: Option<Value>) {
         self.version += 1;
-        self.rows.push(Row { name, version: Version(self.version), created: Version(1), value });
+        self.rows.push(Row {
+            name,
+            version: Position::first(self.version),
+            created: Version(1),
+            value,
+        });
     }
 
     /// Executes a call of a gateway.
     pub(crate) fn answer(&mut self, call: &Call) -> Result<Reply, Error> {
         self.calls += 1;
         match call {
-            Call::ReadAll { .. } => Ok(self.changes_since(Version(0))),
+            Call::ReadAll { .. } => Ok(self.changes_since(Position::first(0))),
             Call::ReadCatalog { after } => {
                 let is_new = |row: &&Row| row.name == Name::Catalog && *after < row.version;
                 let rows = self.rows.iter().filter(is_new);
-                let version = Version(self.version);
+                let version = Position::first(self.version);
                 Ok(Reply::Rows { rows: rows.cloned().collect(), version })
             }
             Call::ReadChanges { after, .. } => Ok(self.changes_since(*after)),
@@ -66,8 +71,8 @@
     }
 
     /// Returns the rows changed after a version.
-    fn changes_since(&self, after: Version) -> Reply {
+    fn changes_since(&self, after: Position) -> Reply {
         let rows = self.rows.iter().filter(|row| after < row.version).cloned().collect();
-        Reply::Rows { rows, version: Version(self.version) }
+        Reply::Rows { rows, version: Position::first(self.version) }
     }
 }
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -7,10 +7,12 @@
 //! fakes in tests.
 
 mod list;
+mod position;
 mod store;
 
 pub mod http;
 pub mod registry;
 
 pub use list::{ListedVm, Role, Status, VmList};
+pub use position::{Era, Position};
 pub use store::{Entry, Error, Expect, Key, Lease, LeaseId, Operation, Reply, Store, Version};
--- a/crates/store/src/registry.rs
+++ b/crates/store/src/registry.rs
@@ -16,7 +16,7 @@
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
-use crate::{Error, Lease, LeaseId, Version};
+use crate::{Era, Error, Lease, LeaseId, Position, Version};
 
 /// Whether a target accepts new requests.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
@@ -130,10 +130,11 @@
 pub struct Row {
     /// Name of the row.
     pub name: Name,
-    /// Version of the row with this value.
-    pub version: Version,
-    /// Version at which the row was created. A row that is deleted and written again
-    /// has a later one. Zero if the row was deleted, or if the store does not tell.
+    /// Position at which the row was written with this value, or deleted.
+    pub version: Position,
+    /// Version at which the row was created, in whichever era. A row that is deleted and
+    /// written again has a later one. Zero if the row was deleted, or if the store does not
+    /// tell.
     pub created: Version,
     /// Value of the row; `None` if it was deleted.
     pub value: Option<Value>,
@@ -154,15 +155,15 @@
     /// version doesn't cover other rows. If the store has dropped these changes, the reply
     /// has the rows that exist now, and doesn't tell which have been deleted.
     ReadCatalog {
-        /// Version after which to look for changes.
-        after: Version,
+        /// Position after which to look for changes.
+        after: Position,
     },
     /// Reads the rows that have changed; if there are none, waits for the first
     /// change. Returns [`Reply::Rows`], [`Error::Compacted`] if the store no longer
     /// has these changes, or [`Error::TooLong`] if they are too long.
     ReadChanges {
-        /// Version after which to look for changes.
-        after: Version,
+        /// Position after which to look for changes.
+        after: Position,
         /// Longest time to wait for the first change.
         wait: Span,
     },
@@ -210,9 +211,9 @@
     Rows {
         /// The rows.
         rows: Vec<Row>,
-        /// The store's version up to which the rows are complete. The next
+        /// The position up to which the rows are complete. The next
         /// [`Call::ReadChanges`] continues after it.
-        version: Version,
+        version: Position,
     },
     /// The lease that was granted or renewed.
     Leased(Lease),
@@ -220,13 +221,28 @@
     Done,
 }
 
+impl Call {
+    /// Returns the position after which the call reads changes.
+    pub fn after(&self) -> Option<Position> {
+        match self {
+            Self::ReadCatalog { after } | Self::ReadChanges { after, .. } => Some(*after),
+            _ => None,
+        }
+    }
+}
+
+/// What became of a call.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Answer {
+    /// The store's era, of an error too. `None` if the store did not answer.
+    pub era: Option<Era>,
+    /// The result. After [`Error::Unknown`], a write may have taken effect; after any other
+    /// error, it did not.
+    pub result: Result<Reply, Error>,
+}
+
 /// Executes calls to the store.
 pub trait Registry {
     /// Executes one call.
-    ///
-    /// # Errors
-    ///
-    /// Returns an [`Error`] if the call failed. After [`Error::Unknown`], a
-    /// write may have taken effect; after any other error, it did not.
-    fn execute(&self, call: Call) -> LocalBoxFuture<'_, Result<Reply, Error>>;
+    fn execute(&self, call: Call) -> LocalBoxFuture<'_, Answer>;
 }
--- a/crates/wire/src/datagram.rs
+++ b/crates/wire/src/datagram.rs
@@ -13,7 +13,7 @@
 use crate::{Error, versioned};
 
 /// Version of the encoding, the first byte of each datagram.
-const VERSION: u8 = 4;
+const VERSION: u8 = 5;
 
 /// The message that a datagram carries.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -54,7 +54,8 @@
     /// use briarshift_wire::datagram::Datagram;
     /// use briarshift_wire::sync::Request;
     /// let from = "vm-1".parse().unwrap();
-    /// let request = Datagram::SyncRequest(Request { from, sent_at: Moment(5), after: 7 });
+    /// let after = briarshift_store::Position::first(7);
+    /// let request = Datagram::SyncRequest(Request { from, sent_at: Moment(5), after });
     /// assert_eq!(Datagram::decode(&request.encode().unwrap()), Ok(request));
     /// ```
     pub fn encode(&self) -> Result<Vec<u8>, Error> {
--- a/crates/wire/src/evacuation.rs
+++ b/crates/wire/src/evacuation.rs
@@ -4,7 +4,7 @@
 //! come up to some seconds later. The row's version decides which word is the newer one,
 //! so the content is idempotent and may arrive in any order.
 
-use briarshift_store::Version;
+use briarshift_store::Position;
 use briarshift_units::{DataCentre, VmId};
 use serde::{Deserialize, Serialize};
 
@@ -13,8 +13,8 @@
 pub struct Evacuation {
     /// The data centre.
     pub data_centre: DataCentre,
-    /// Version of the row, or of its deletion.
-    pub version: Version,
+    /// Position of the row, or of its deletion.
+    pub version: Position,
     /// True if its targets get nothing new; false if it has been taken back.
     pub is_evacuated: bool,
 }
--- a/crates/wire/src/sync.rs
+++ b/crates/wire/src/sync.rs
@@ -7,6 +7,7 @@
 //! configuration and its rows were certainly the newest, however long the datagrams
 //! took.
 
+use briarshift_store::Position;
 use briarshift_store::registry::Row;
 use briarshift_units::{Moment, Span, VmId};
 use serde::{Deserialize, Serialize};
@@ -18,8 +19,8 @@
     pub from: VmId,
     /// Time of sending, by the clock of the requester. The response repeats it.
     pub sent_at: Moment,
-    /// The store's version up to which the requester has all changes.
-    pub after: u64,
+    /// The position up to which the requester has all changes.
+    pub after: Position,
 }
 
 /// The response to a [`Request`].
@@ -29,8 +30,9 @@
     pub from: VmId,
     /// [`Request::sent_at`] of the request that this answers.
     pub request_sent_at: Moment,
-    /// The store's version up to which `rows` are complete.
-    pub version: u64,
+    /// The position up to which `rows` are complete. In a later era than
+    /// [`Request::after`], the rows tell all that differs between the two.
+    pub version: Position,
     /// Time since the sender's configuration was known to be the newest.
     pub age: Span,
     /// Time since `version` was known to be the newest. `None` if the sender has read a
