Close callers' idle connections when operators say

Cause: connections were kept for a constant 75 s; idle-timeout-ms was decoded and used nowhere, and the descriptors were used up.

--- a/crates/daemon/src/gateway/daemon.rs
+++ b/crates/daemon/src/gateway/daemon.rs
@@ -24,24 +24,15 @@
 
 use super::control::{Control, Input};
 use super::link::Link;
+use super::listener::BACKLOG;
 use super::metric::Metrics;
 use super::shared::Shared;
 use super::task::{Command, Worker};
-use super::{caller, clock, operator};
+use super::{clock, listener, operator};
 
-/// How long a caller's connection may stay idle. Well above the time after which
-/// callers stop reusing an idle connection, so that this VM doesn't close one that
-/// a caller is about to use.
-const KEEP_ALIVE_TIMEOUT: Duration = Duration::from_secs(75);
-/// Longest time to read the headers of a request.
-const HEADER_TIMEOUT: Duration = Duration::from_secs(5);
-/// Longest time to shut down a connection that is being closed.
-const DISCONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 /// How long a stopping process waits for its last responses to be written:
 /// several iterations of the traffic thread's event loop on a slow core.
 const FINAL_FLUSH_DELAY: Duration = Duration::from_millis(50);
-/// Limit of connections that wait to be accepted.
-const BACKLOG: u32 = 1024;
 /// Share of a VM's memory that may hold the bodies of requests and answers. The rest is for
 /// the process itself, for connections with their buffers, and for what the allocator keeps.
 const BODY_MEMORY_SHARE: f64 = 0.3;
@@ -288,31 +279,19 @@
     let memory = settings.memory_mb.map_or_else(Memory::default, |megabytes| {
         Memory::new(Size((megabytes * BODY_MEMORY_SHARE * f64::from(1 << 20)) as u64))
     });
-    // The server has one worker, so the factory runs once and its client gets all
-    // commands.
+    // There is one traffic thread, whose client gets all commands.
     let command_receiver = Arc::new(std::sync::Mutex::new(Some(command_receiver)));
-    let factory = move || {
+    let own_shared = shared.clone();
+    let worker = move || {
         let client = Client::new(briarshift_forward::Options::default(), memory.clone());
         if let Some(command_receiver) =
             command_receiver.lock().ok().and_then(|mut slot| slot.take())
         {
             actix_rt::spawn(run_commands(command_receiver, client.clone()));
         }
-        let worker = Rc::new(Worker::new(control.clone(), header_codec(), shared.clone(), client));
-        App::new().app_data(web::Data::new(worker)).default_service(web::to(caller::serve))
+        Rc::new(Worker::new(control.clone(), header_codec(), own_shared.clone(), client))
     };
-    let server = HttpServer::new(factory)
-        .disable_signals()
-        .workers(1)
-        .backlog(BACKLOG)
-        .keep_alive(KEEP_ALIVE_TIMEOUT)
-        .client_request_timeout(HEADER_TIMEOUT)
-        .client_disconnect_timeout(DISCONNECT_TIMEOUT)
-        // A caller that closes its sending side counts as gone.
-        .h1_allow_half_closed(false)
-        .listen(listener)
-        .context("cannot start the callers' listener")?;
-    Ok((address, server.run()))
+    Ok((address, listener::serve(listener, &shared, worker)?))
 }
 
 /// Executes the control thread's commands on the traffic thread.
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -12,6 +12,7 @@
 mod control;
 mod daemon;
 mod link;
+mod listener;
 mod metric;
 mod operator;
 mod relay;
--- a/crates/daemon/src/gateway/shared.rs
+++ b/crates/daemon/src/gateway/shared.rs
@@ -15,8 +15,9 @@
     ready: AtomicBool,
     draining: AtomicBool,
     max_body: AtomicU64,
-    /// In microseconds.
+    /// In microseconds, like the next one.
     read_timeout: AtomicU64,
+    idle_timeout: AtomicU64,
 }
 
 impl Default for Shared {
@@ -27,6 +28,7 @@
             draining: AtomicBool::new(false),
             max_body: AtomicU64::new(limits.max_body.0),
             read_timeout: AtomicU64::new(limits.read_timeout.0),
+            idle_timeout: AtomicU64::new(limits.idle_timeout.0),
         }))
     }
 }
@@ -55,8 +57,14 @@
         (max_body, Span(self.0.read_timeout.load(Ordering::Relaxed)))
     }
 
+    /// Returns for how long a caller's connection may be idle.
+    pub(crate) fn idle_timeout(&self) -> Span {
+        Span(self.0.idle_timeout.load(Ordering::Relaxed))
+    }
+
     pub(crate) fn set_limits(&self, limits: Limits) {
         self.0.max_body.store(limits.max_body.0, Ordering::Relaxed);
         self.0.read_timeout.store(limits.read_timeout.0, Ordering::Relaxed);
+        self.0.idle_timeout.store(limits.idle_timeout.0, Ordering::Relaxed);
     }
 }
