Report the end of each booking whose caller leaves

What callers saw: bookings were refused for ever by targets that had asked for a pause, and stops took all of their grace time.

Cause: the result of an attempt that outlives its caller was taken for delivered once it was in the channel; a handler that was dropped before it looked there reported nothing.

Change: the result reports its end when it is dropped unclaimed.

Why it works: there is one value, and it is either claimed or dropped.

--- a/crates/daemon/src/gateway/task.rs
+++ b/crates/daemon/src/gateway/task.rs
@@ -107,6 +107,36 @@
     }
 }
 
+/// The result of an attempt that goes on after its caller has left. Whoever drops it
+/// unclaimed, the control thread learns once that the attempt has ended.
+struct Outcome {
+    worker: Rc<Worker>,
+    id: SendId,
+    result: Option<Result<TargetAnswer, FailedAttempt>>,
+}
+
+impl Outcome {
+    /// Returns the result to the request that waits for it.
+    fn claim(mut self) -> Option<Result<TargetAnswer, FailedAttempt>> {
+        self.result.take()
+    }
+}
+
+impl Drop for Outcome {
+    fn drop(&mut self) {
+        let (end, report) = match self.result.take() {
+            None => return,
+            Some(Ok(TargetAnswer::Complete { head, report, .. })) => {
+                (End::Complete { ok: head.status < 500 }, report)
+            }
+            Some(Ok(TargetAnswer::Stream { report, .. })) => (End::Complete { ok: true }, report),
+            Some(Err(FailedAttempt { end, report })) => (end, report),
+        };
+        self.worker.report_end(self.id, end, report);
+        self.worker.notify(Event::CallerLeft(self.id.request));
+    }
+}
+
 impl Worker {
     pub(crate) fn new(
         control: Addr<Control>,
@@ -232,27 +262,19 @@
             return (send, answered);
         }
         guard.disarm();
-        let (worker, job, own_send) = (Rc::clone(this), Rc::clone(job), send.clone());
+        let (worker, job, id) = (Rc::clone(this), Rc::clone(job), send.id);
         let (sender, receiver) = tokio::sync::oneshot::channel();
+        let own_send = send.clone();
         actix_rt::spawn(async move {
-            let send = own_send;
-            let result = worker.attempt(&job, &send, None).await;
-            if let Err(result) = sender.send(result) {
-                let (end, report) = match result {
-                    Ok(TargetAnswer::Complete { head, report, .. }) => {
-                        (End::Complete { ok: head.status < 500 }, report)
-                    }
-                    Ok(TargetAnswer::Stream { report, .. }) => (End::Complete { ok: true }, report),
-                    Err(FailedAttempt { end, report }) => (end, report),
-                };
-                worker.report_end(send.id, end, report);
-                worker.notify(Event::CallerLeft(send.id.request));
-            }
+            let result = worker.attempt(&job, &own_send, None).await;
+            // If nobody waits any more, the outcome is dropped, here or in the channel.
+            let _ = sender.send(Outcome { worker, id, result: Some(result) });
         });
-        let result = receiver.await;
+        let outcome = receiver.await;
         guard.armed.set(true);
-        let answered = result
-            .unwrap_or_else(|_| Err(interrupted("the task of the attempt was dropped").into()));
+        let answered = outcome.ok().and_then(Outcome::claim);
+        let answered = answered
+            .unwrap_or_else(|| Err(interrupted("the task of the attempt was dropped").into()));
         (send, answered)
     }
 
