--- a/crates/gateway/src/sync/mod.rs
+++ b/crates/gateway/src/sync/mod.rs
@@ -24,6 +24,8 @@
 //! refused once the last confirmation is too old. The VM still tells its peers how
 //! recent its rows are, so that they don't all read the store.
 
+mod catalog;
+mod era;
 mod journal;
 mod lease;
 mod pace;
@@ -46,8 +48,8 @@
 use self::pace::Pace;
 use crate::context::call_name;
 use crate::limit::{
-    DELEGATE_INTERVAL, DELEGATE_TIMEOUT, FAILURE_LOG_INTERVAL, READERS, RETURN_SETTLE_TIME,
-    STORE_FAILURE_WINDOW, STORE_FALLBACK_STEP, STORE_RETRY_DELAY, SYNC_RETRY_DELAY,
+    DELEGATE_INTERVAL, DELEGATE_TIMEOUT, FAILURE_LOG_INTERVAL, READERS, STORE_FAILURE_WINDOW,
+    STORE_FALLBACK_STEP, STORE_RETRY_DELAY, SYNC_RETRY_DELAY,
 };
 use crate::{Bounds, Context, Effect, Output, peer};
 
@@ -243,42 +245,6 @@
         }
     }
 
-    /// Records which revision of the configuration a peer has in force.
-    pub fn hear_revision(&mut self, revision: Revision) {
-        self.peer_revision = self.peer_revision.max(revision);
-    }
-
-    /// Begins a later era of the store, of which this VM learned by an answer to a call or by
-    /// a peer's message.
-    fn begin_era(&mut self, ctx: &Context<'_>, era: Era, by: &str, out: &mut Output) {
-        let line = Record::new("store_returned").with("before", self.era).with("era", era);
-        out.log(
-            line.with("version", self.version.unwrap_or_default())
-                .with(
-                    "catalog",
-                    self.catalog.as_ref().map_or_else(Revision::default, |it| it.revision()),
-                )
-                .with("by", by),
-        );
-        self.era = era;
-        self.returned_at = Some(ctx.at);
-        self.is_unsettled = true;
-        self.rows.is_certain = false;
-        self.delegates_lack_changes = false;
-        self.registration.restart(ctx);
-    }
-
-    /// Returns true if the rows are of an earlier era and must be read anew.
-    fn must_read_anew(&self) -> bool {
-        self.version.is_some_and(|version| version.era < self.era)
-    }
-
-    /// Returns true if the store returned from a copy so recently that rows may be missing
-    /// that are about to be written again.
-    fn has_just_returned(&self, now: Moment) -> bool {
-        self.returned_at.is_some_and(|at| now.since(at) < STORE_FAILURE_WINDOW)
-    }
-
     /// Ends this VM's registration.
     pub fn leave(&mut self, out: &mut Output) {
         self.registration.leave(out);
@@ -691,78 +657,6 @@
         }
         rows
     }
-
-    /// Records that the operators' rows were the newest at a time.
-    fn confirm(&mut self, ctx: &Context<'_>, at: Moment, out: &mut Output) {
-        if self.catalog.is_none() && !self.is_superseded {
-            return;
-        }
-        self.unconfirmed = false;
-        self.read_at = self.read_at.max(Some(at));
-        if self.is_superseded || !self.is_settled(at) {
-            return;
-        }
-        self.freshness.confirm(at);
-        if std::mem::take(&mut self.is_unsettled) {
-            let waited = self.returned_at.map_or(Span::ZERO, |returned| ctx.at.since(returned));
-            out.log(Record::new("store_settled").with("era", self.era).with("after", waited));
-        }
-    }
-
-    /// Returns true if operators had written again by a time what the store lost when it
-    /// returned, as far as this VM can tell.
-    fn is_settled(&self, at: Moment) -> bool {
-        let Some(returned_at) = self.returned_at else { return true };
-        let in_force = self.catalog.as_ref().map(|catalog| catalog.revision());
-        returned_at + RETURN_SETTLE_TIME <= at && Some(self.peer_revision) <= in_force
-    }
-
-    /// Adopts the store's configuration, if it can be used and is newer than the one in
-    /// force.
-    fn follow_catalog(&mut self, row: &Row, out: &mut Output) {
-        let stored = match &row.value {
-            Some(Value::Catalog(catalog)) => {
-                self.adopt_catalog(catalog, out);
-                Some(catalog.revision())
-            }
-            _ => None,
-        };
-        let in_force = self.catalog.as_ref().map(|catalog| catalog.revision());
-        let was_superseded = std::mem::replace(&mut self.is_superseded, stored != in_force);
-        if was_superseded == self.is_superseded {
-            return;
-        }
-        let event = if self.is_superseded { "catalog_superseded" } else { "catalog_confirmed" };
-        let line = Record::new(event).with("version", row.version);
-        let line = line.with("in_force", in_force.unwrap_or_default());
-        out.log(match stored {
-            Some(revision) => line.with("stored", revision),
-            None => line.with("stored", "unusable"),
-        });
-    }
-
-    fn adopt_catalog(&mut self, catalog: &Arc<Catalog>, out: &mut Output) {
-        let known = self.catalog.as_ref().map(|catalog| catalog.revision());
-        if known.is_some_and(|known| catalog.revision() <= known) {
-            if Some(catalog.revision()) != known {
-                let line = Record::new("catalog_older").with("revision", catalog.revision());
-                out.log(line.with("in_force", known.unwrap_or_default()));
-            }
-            return;
-        }
-        out.log(
-            Record::new("catalog")
-                .with("revision", catalog.revision())
-                .with("before", known.unwrap_or_default())
-                .with("routes", catalog.route_count()),
-        );
-        for fault in catalog.faults() {
-            let line = Record::new("catalog_fault").with("revision", catalog.revision());
-            out.log(line.with("reason", fault));
-        }
-        out.push(Effect::SetLimits(catalog.limits()));
-        self.catalog = Some(Arc::clone(catalog));
-    }
 }
 
 /// Logs by which way changes have reached this VM, and how old they may be.
