Test each promise about a returning store at one VM

Leases, late answers, the wait for operators, a VM that starts on the copy, targets of the copy, and a peer of a later era. The stand-in of a store in these tests learns eras.

--- a/crates/gateway/tests/all/main.rs
+++ b/crates/gateway/tests/all/main.rs
@@ -5,6 +5,7 @@
 mod configuration;
 mod delegate;
 mod drain;
+mod era;
 mod evacuation;
 mod explain;
 mod fleet;
--- a/crates/gateway/tests/all/world.rs
+++ b/crates/gateway/tests/all/world.rs
@@ -38,6 +38,7 @@
     /// Whether the process may exit.
     pub drained: bool,
     entropy: u64,
+    era: Era,
     version: u64,
     requests: u64,
 }
@@ -96,6 +97,7 @@
             delegate_addresses: Vec::new(),
             drained: false,
             entropy: 7,
+            era: Era(0),
             version: 10,
             requests: 0,
         }
@@ -170,7 +172,7 @@
 
     /// Replies to a call that was sent now with rows or an error.
     pub fn reply_rows(&mut self, call: Call, rows: Result<Vec<Row>, Error>) {
-        let version = Position::first(self.version);
+        let version = self.position();
         let result = rows.map(|rows| Reply::Rows { rows, version });
         self.answer(call, result);
     }
@@ -181,14 +183,30 @@
     }
 
     /// Answers a call that was sent now.
-    fn answer(&mut self, call: Call, result: Result<Reply, Error>) {
-        self.apply(Kind::Store { call, sent: self.now, answer: answer(result) });
+    fn answer(&mut self, mut call: Call, result: Result<Reply, Error>) {
+        if let Call::ReadChanges { after, .. } | Call::ReadCatalog { after } = &mut call {
+            after.era = self.era;
+        }
+        let answer = Answer { era: Some(self.era), result };
+        self.apply(Kind::Store { call, sent: self.now, answer });
     }
 
     pub fn fail_store(&mut self) {
         self.reply_rows(changes(), Err(Error::Refused("503".into())));
     }
 
+    /// Lets the store return from a copy of an earlier version. The VM learns of it by the next
+    /// answer.
+    pub fn return_to(&mut self, version: u64) {
+        self.era.0 += 1;
+        self.version = version;
+    }
+
+    /// Returns the store's position.
+    pub fn position(&self) -> Position {
+        Position { era: self.era, revision: self.version }
+    }
+
     /// Returns the store's version.
     pub fn version(&self) -> u64 {
         self.version
@@ -196,7 +214,7 @@
 
     fn row(&mut self, name: Name, value: Option<Value>) -> Row {
         self.version += 1;
-        Row { name, version: Position::first(self.version), created: Version(1), value }
+        Row { name, version: self.position(), created: Version(1), value }
     }
 
     /// Lets a request arrive and returns the decision on it.
