Tell a target that can't be reached from one whose process is gone

Cause: connections that time out at a cut counted as crashes of the engines behind it, under a part that no answer could acquit meanwhile.

Change: a check finds a listener, a refusal or nothing. Only a refusal is a crash. Failed sends ask for the check in place of counting without one.

Why it works: a process that is gone refuses connections; a cut answers nothing.

--- a/crates/daemon/src/gateway/control.rs
+++ b/crates/daemon/src/gateway/control.rs
@@ -1,5 +1,6 @@
 //! The control thread: an actor that runs the gateway reducer.
 
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -8,7 +9,7 @@
 use briarshift_gateway::request::explain::{Answer, Question};
 use briarshift_gateway::request::{self, Arrival, Decision, End};
 use briarshift_gateway::status::Status;
-use briarshift_gateway::{Effect, Event, Identity, Kind, State};
+use briarshift_gateway::{Check, Effect, Event, Identity, Kind, State};
 use briarshift_store::registry::{Call, Registry};
 use briarshift_units::RequestId;
 use tokio::net::TcpStream;
@@ -115,8 +116,8 @@
             Effect::CheckTarget { target, address } => {
                 let control = ctx.address();
                 actix_rt::spawn(async move {
-                    let listens = is_listening(address).await;
-                    control.do_send(Input(Kind::TargetChecked { target, address, listens }));
+                    let found = check(address).await;
+                    control.do_send(Input(Kind::TargetChecked { target, address, found }));
                 });
             }
             Effect::Send { address, datagram } => self.link.send(&[address], &datagram),
@@ -163,10 +164,17 @@
     }
 }
 
-/// Returns true if a TCP connection to the address can be opened in time.
-async fn is_listening(address: SocketAddr) -> bool {
-    let connected = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
-    matches!(connected, Ok(Ok(_)))
+/// Finds out whether something listens at an address.
+async fn check(address: SocketAddr) -> Check {
+    match tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await {
+        Ok(Ok(_)) => Check::Listens,
+        Ok(Err(err))
+            if matches!(err.kind(), ErrorKind::ConnectionRefused | ErrorKind::ConnectionReset) =>
+        {
+            Check::Refuses
+        }
+        Ok(Err(_)) | Err(_) => Check::Unreachable,
+    }
 }
 
 impl Actor for Control {
--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -20,6 +20,17 @@
     pub kind: Kind,
 }
 
+/// What a check of a target's address has found.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Check {
+    /// Something listens there.
+    Listens,
+    /// The machine refuses connections: the target's process is gone.
+    Refuses,
+    /// Nothing answers: the machine or the way to it is lost, for whatever reason.
+    Unreachable,
+}
+
 /// What happened.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Kind {
@@ -42,8 +53,8 @@
         target: TargetId,
         /// The address that was checked.
         address: SocketAddr,
-        /// Whether something listens at the address.
-        listens: bool,
+        /// What was found.
+        found: Check,
     },
     /// An authenticated datagram from a peer.
     Datagram(Datagram),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -40,5 +40,5 @@
 
 pub use context::{Bounds, Context, Features, Identity, Output};
 pub use effect::Effect;
-pub use event::{Event, Kind};
+pub use event::{Check, Event, Kind};
 pub use state::State;
--- a/crates/gateway/src/request/state.rs
+++ b/crates/gateway/src/request/state.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, HashMap};
 
 use briarshift_routing::retry_window::Window;
-use briarshift_units::{Moment, PoolId, RequestId, Span};
+use briarshift_units::{Moment, PoolId, RequestId, Span, TargetId};
 
 use super::admit::admit;
 use super::choice::{Choice, Denied, answer_deadline, choose};
@@ -362,23 +362,30 @@
         End::NotRun { .. } if asks_for_pause => {}
         End::Failed { .. } | End::NotRun { .. } => targets.record_answer(target, false, at),
         End::NotSent { .. } | End::AnswerTimeout => {
-            for crash in targets.record_unreachable(target, at) {
-                step.view.poison.record_crash(step.ctx, crash, step.out);
+            targets.record_unreachable(target, at);
+            if targets.has_interrupted(target, at) {
+                check_target(step, target);
             }
+            let targets = &mut *step.view.targets;
             let is_silent = matches!(end, End::AnswerTimeout);
             targets.record_failure(step.ctx, target, is_silent, step.out);
         }
         End::Interrupted { .. } => {
             targets.record_interruption(target, pending.interruption(active, at));
-            if let Some(entry) = targets.get(target) {
-                let (target, address) = (target.clone(), entry.target.address);
-                step.out.push(Effect::CheckTarget { target, address });
-            }
+            check_target(step, target);
         }
         End::ConfigExpired => {}
     }
 }
 
+/// Asks whether a target's process is gone, which shows that it crashed.
+fn check_target(step: &mut Step<'_, '_>, target: &TargetId) {
+    if let Some(entry) = step.view.targets.get(target) {
+        let (target, address) = (target.clone(), entry.target.address);
+        step.out.push(Effect::CheckTarget { target, address });
+    }
+}
+
 fn refuse(step: &mut Step<'_, '_>, arrival: &Arrival, cause: Cause, wait: Span) {
     let retry_after = retry_after(cause, wait, step.ctx.entropy);
     let refusal = Refusal { cause, retry_after };
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -15,8 +15,8 @@
 use crate::status::Status;
 use crate::sync::Update;
 use crate::{
-    Bounds, Context, Effect, Event, Identity, Kind, Output, cache, drain, peer, poison, request,
-    sync, target,
+    Bounds, Check, Context, Effect, Event, Identity, Kind, Output, cache, drain, peer, poison,
+    request, sync, target,
 };
 
 /// The whole state of a gateway VM.
@@ -93,8 +93,8 @@
                 self.handle_datagram(&ctx, datagram, &mut out);
                 self.poll_waiting(&ctx, &mut out);
             }
-            Kind::TargetChecked { target, address, listens } => {
-                self.handle_target_check(&ctx, &target, address, listens, &mut out);
+            Kind::TargetChecked { target, address, found } => {
+                self.handle_target_check(&ctx, &target, address, found, &mut out);
             }
             Kind::Settings(bounds) => self.handle_settings(&ctx, bounds, &mut out),
             Kind::Drain => self.handle_drain(&ctx, &mut out),
@@ -340,18 +340,23 @@
         ctx: &Context<'_>,
         target: &TargetId,
         address: SocketAddr,
-        listens: bool,
+        found: Check,
         out: &mut Output,
     ) {
         let known_address = self.targets.get(target).map(|entry| entry.target.address);
-        if listens || known_address != Some(address) {
+        if found == Check::Listens || known_address != Some(address) {
             return;
         }
-        out.log(Record::new("target_down").with("target", target).with("address", address));
+        let event = if found == Check::Refuses { "target_down" } else { "target_unreachable" };
+        out.log(Record::new(event).with("target", target).with("address", address));
         out.push(Effect::CloseConnections(address));
         self.targets.record_lost(ctx, target, out);
-        for crash in self.targets.record_unreachable(target, ctx.at) {
-            self.poison.record_crash(ctx, crash, out);
+        self.targets.record_unreachable(target, ctx.at);
+        // A cut interrupts requests at all targets behind it, which crash under none of them.
+        if found == Check::Refuses {
+            for crash in self.targets.take_crashes(target, ctx.at) {
+                self.poison.record_crash(ctx, crash, out);
+            }
         }
     }
 
--- a/crates/gateway/src/target/mod.rs
+++ b/crates/gateway/src/target/mod.rs
@@ -580,14 +580,24 @@
     }
 
     /// Records that a target could not be reached or did not answer in time.
-    /// Returns a crash for each request that was interrupted there shortly
-    /// before.
-    pub fn record_unreachable(&mut self, id: &TargetId, now: Moment) -> Vec<CrashedRequest> {
-        let Some(entry) = self.entries.get_mut(id) else { return Vec::new() };
+    pub fn record_unreachable(&mut self, id: &TargetId, now: Moment) {
+        let Some(entry) = self.entries.get_mut(id) else { return };
         entry.health.record_unreachable(now);
         entry.failures = entry.failures.saturating_add(1);
         self.data_centres.record_failure(&entry.target.data_centre, now);
-        entry.take_crashes(now)
+    }
+
+    /// Returns the crashes of a target whose process is gone: one for each request that it
+    /// has recently broken off.
+    pub fn take_crashes(&mut self, id: &TargetId, now: Moment) -> Vec<CrashedRequest> {
+        self.entries.get_mut(id).map_or_else(Vec::new, |entry| entry.take_crashes(now))
+    }
+
+    /// Returns true if a target has recently broken off requests, so that a check can tell
+    /// whether it crashed.
+    pub fn has_interrupted(&self, id: &TargetId, now: Moment) -> bool {
+        let is_recent = |it: &Interruption| now.since(it.at) < CRASH_SUSPICION_TIME;
+        self.entries.get(id).is_some_and(|entry| entry.interrupted.iter().any(is_recent))
     }
 
     /// Records that a request was interrupted at a target. It counts as a crash
--- a/crates/gateway/tests/all/hedge.rs
+++ b/crates/gateway/tests/all/hedge.rs
@@ -4,7 +4,7 @@
 
 use briarshift_catalog::{Catalog, Kind as RouteKind, Route};
 use briarshift_gateway::request::{Cause, Decision, End, Event as Request, Send};
-use briarshift_gateway::{Bounds, Kind};
+use briarshift_gateway::{Bounds, Check, Kind};
 use briarshift_routing::hedge::Policy;
 use briarshift_routing::retry_window::Budget;
 use briarshift_store::registry::{Name, Target, Value};
@@ -336,7 +336,7 @@
     let first = arrive(&mut world, "/safe/a");
     let address = first.address;
     expect_send(world.end(&first, interrupted()).unwrap());
-    let down = Kind::TargetChecked { target: first.target, address, listens: false };
+    let down = Kind::TargetChecked { target: first.target, address, found: Check::Refuses };
     world.apply(down);
     assert_eq!(lines(&world, "strike").len(), 1);
     let fingerprint = briarshift_units::Fingerprint(first.id.request.0);
--- a/crates/gateway/tests/all/poison.rs
+++ b/crates/gateway/tests/all/poison.rs
@@ -1,7 +1,7 @@
 //! Requests that crash targets.
 
-use briarshift_gateway::Kind;
 use briarshift_gateway::request::{Arrival, Cause, Decision, End, Event};
+use briarshift_gateway::{Check, Kind};
 use briarshift_routing::selection::Part;
 use briarshift_store::registry::{Call, Name, Target, Value};
 use briarshift_units::{Fingerprint, PartId, PartSet, StartNumber};
@@ -23,7 +23,8 @@
     if let Decision::Send(send) = &decision {
         world.end(send, interrupted());
         let (target, address) = (send.target.clone(), send.address);
-        world.apply(Kind::TargetChecked { target, address, listens });
+        let found = if listens { Check::Listens } else { Check::Refuses };
+        world.apply(Kind::TargetChecked { target, address, found });
         world.advance(4_000);
         world.reply_rows(crate::world::changes(), Ok(Vec::new()));
     }
@@ -162,7 +163,7 @@
     }
     world.end(send, interrupted());
     let (id, address) = (send.target.clone(), send.address);
-    world.apply(Kind::TargetChecked { target: id.clone(), address, listens: false });
+    world.apply(Kind::TargetChecked { target: id.clone(), address, found: Check::Refuses });
     world.advance(700);
     world.change_row(Name::Target(id), None);
     let replacement = format!("t-{own}");
@@ -208,6 +209,26 @@
     assert!(crashes <= 5, "{crashes} crashes");
 }
 
+/// Guards against a prompt part that is refused because a cut interrupted all prompts with it,
+/// at engines that could not be reached.
+#[test]
+fn engines_that_cannot_be_reached_blame_no_part() {
+    let engines: Vec<_> = (0..8).map(|number| format!("t-{number}")).collect();
+    let mut world = World::new(&engines.iter().map(String::as_str).collect::<Vec<_>>());
+    for own in 100..106 {
+        let decision = arrive_with_parts(&mut world, &[FIRST_PART, own + 1_000], own);
+        let send = expect_send(decision);
+        world.end(&send, interrupted());
+        let (target, address) = (send.target, send.address);
+        let found = Check::Unreachable;
+        world.apply(Kind::TargetChecked { target, address, found });
+        world.advance(700);
+        world.reply_rows(crate::world::changes(), Ok(Vec::new()));
+    }
+    assert!(!world.log.iter().any(|line| line.starts_with("event=strike")), "{:?}", world.log);
+    assert!(world.log.iter().any(|line| line.starts_with("event=target_unreachable")));
+}
+
 /// A peer's report of crashes of engines by one prompt.
 fn crash_report(crashes: Vec<PromptCrash>, cleared: Vec<PartId>) -> Kind {
     let (from, blocked, requests) = ("vm-2".parse().unwrap(), Vec::new(), Vec::new());
--- a/crates/model/src/fleet/vm.rs
+++ b/crates/model/src/fleet/vm.rs
@@ -5,7 +5,7 @@
 
 use briarshift_catalog::{Account, Catalog, Engine as EngineSpec, Pool, Route};
 use briarshift_gateway::request::{Cause, Decision};
-use briarshift_gateway::{Bounds, Effect, Event, Identity, Kind};
+use briarshift_gateway::{Bounds, Check, Effect, Event, Identity, Kind};
 use briarshift_routing::retry_window::Budget;
 use briarshift_routing::selection::Bound;
 use briarshift_store::registry::Secret;
@@ -97,7 +97,8 @@
                 }
                 Effect::CheckTarget { target, address } => {
                     let listens = self.targets.iter().any(|t| t.address == address && t.is_up);
-                    let checked = Kind::TargetChecked { target, address, listens };
+                    let found = if listens { Check::Listens } else { Check::Refuses };
+                    let checked = Kind::TargetChecked { target, address, found };
                     self.scheduler
                         .schedule(NETWORK_DELAY + NETWORK_DELAY, Action::Deliver(vm, checked));
                 }
