--- a/review/13/run.sh
+++ b/review/13/run.sh
@@ -4,4 +4,7 @@
 folder=$(cd "$(dirname "$0")" && pwd)
 cd "$folder/../.." || exit 2
 [ -x target/review-3/standin ] && [ -x target/release/briarshift ] || exit 2
-exec timeout --kill-after=5 60 target/review-3/standin plain-503 "$folder"
+timeout --kill-after=5 60 target/review-3/standin plain-503 "$folder"
+code=$?
+[ "$code" -le 1 ] && exit "$code"
+exit 2
