--- a/review/standin-3/common.rs
+++ b/review/standin-3/common.rs
@@ -134,6 +134,26 @@
     out
 }
 
+fn decode_base64(text: &str) -> String {
+    let (mut bytes, mut word, mut bits) = (Vec::new(), 0_u32, 0);
+    for digit in text.bytes().filter(|it| *it != b'=') {
+        let value = match digit {
+            b'A'..=b'Z' => digit - b'A',
+            b'a'..=b'z' => digit - b'a' + 26,
+            b'0'..=b'9' => digit - b'0' + 52,
+            b'+' => 62,
+            _ => 63,
+        };
+        word = word << 6 | u32::from(value);
+        bits += 6;
+        if 8 <= bits {
+            bits -= 8;
+            bytes.push((word >> bits) as u8);
+        }
+    }
+    String::from_utf8_lossy(&bytes).into_owned()
+}
+
 #[derive(Clone)]
 struct Item {
     value: String,
@@ -236,6 +256,12 @@
         (store, address)
     }
 
+    /// Returns the value of a key as text.
+    pub fn get(&self, key: &str) -> String {
+        let value = self.0.lock().unwrap().items.get(key).map(|item| item.value.clone());
+        decode_base64(&value.unwrap_or_default())
+    }
+
     /// Writes a key, as the operator and the runners do. The return is the acknowledgement.
     pub fn put(&self, key: &str, value: &str) {
         self.0.lock().unwrap().put(key, base64(value.as_bytes()), 0);
@@ -388,13 +414,14 @@
             thread::spawn(move || serve_connection(stream, &id, &*serve));
         }
     });
+    let born = std::time::UNIX_EPOCH.elapsed().map_or(0, |since| since.as_millis());
     let (store, key) = (store.clone(), format!("servers/{id}"));
     let service = service.to_owned();
     let mut sequence = 1;
     let beat = move || {
         sequence += 1;
         let entry = format!(
-            "{{\"service\":\"{service}\",\"address\":\"{address}\",\"zone\":\"aarau\",\"version\":\"v1\",\"slots\":{slots},\"state\":\"ready\",\"warmup-left-ms\":0,\"sequence\":{sequence}}}"
+            "{{\"service\":\"{service}\",\"address\":\"{address}\",\"zone\":\"aarau\",\"version\":\"v1\",\"slots\":{slots},\"state\":\"ready\",\"warmup-left-ms\":0,\"sequence\":{sequence},\"born\":{born}}}"
         );
         store.put(&key, &entry);
     };
--- a/review/standin-3/entry.rs
+++ b/review/standin-3/entry.rs
@@ -18,10 +18,9 @@
     let (store, address) = Store::start();
     store.put("op/config", &config());
     let strange: Arc<Mutex<usize>> = Arc::default();
-    let mut addresses = Vec::new();
     for (id, service, path) in [("i-desk1", "desk", "/book/"), ("i-stock1", "stock", "/count/")] {
         let (record, strange) = (record.clone(), Arc::clone(&strange));
-        addresses.push(start_runner(&store, id, service, 6, move |request, stream| {
+        start_runner(&store, id, service, 6, move |request, stream| {
             let attempt = request.header("x-briarshift-attempt-id").to_owned();
             record.line(format!(
                 "run attempt={attempt} runner={id} service={service} path={}",
@@ -33,7 +32,7 @@
             thread::sleep(Duration::from_millis(15));
             respond(stream, 200, &seal(id, request), &[b'd'; 800])?;
             Ok(true)
-        }));
+        });
     }
     let folder = Folder::create();
     let gateway = Gateway::start(folder.path(), "front-1", address, &BRUGGER)?;
@@ -42,10 +41,15 @@
     while start.elapsed() < Duration::from_secs(10) {
         if has_trouble() && Duration::from_secs(3) < written.elapsed() {
             written = Instant::now();
-            let entry = format!(
-                r#"{{"service":"desk","address":"{}","zone":"aarau","slots":6,"state":"ready"}}"#,
-                addresses[1]
-            );
+            // The runner's own entry, with another service and without three of its fields.
+            let own = store.get("servers/i-stock1");
+            let is_kept = |field: &&str| {
+                !["\"version\"", "\"warmup-left-ms\"", "\"sequence\""]
+                    .iter()
+                    .any(|name| field.starts_with(name))
+            };
+            let fields: Vec<_> = own.trim_matches(['{', '}']).split(',').filter(is_kept).collect();
+            let entry = format!("{{{}}}", fields.join(",")).replace("\"stock\"", "\"desk\"");
             store.put("servers/i-stock1", &entry);
             record.line(format!("another writer: servers/i-stock1 = {entry}"));
         }
--- a/review/standin-3/plain_503.rs
+++ b/review/standin-3/plain_503.rs
@@ -52,8 +52,11 @@
                 ran.1.push(order);
             }
             thread::sleep(Duration::from_millis(15));
-            let turn = count.fetch_add(1, Ordering::Relaxed) * FAILED_OF_100 % 100;
-            if number == 1 && trouble.load(Ordering::Relaxed) && turn < FAILED_OF_100 {
+            let is_on = number == 1 && trouble.load(Ordering::Relaxed);
+            // Of the first requests in the fault's time, however few, at most the share fails.
+            let turn = if is_on { count.fetch_add(1, Ordering::Relaxed) + 1 } else { 0 };
+            let share = |turn: usize| turn * FAILED_OF_100 / 100;
+            if 0 < turn && share(turn - 1) < share(turn) {
                 record.line(format!("failed attempt={attempt} runner={own} status=503, without X-Briarshift-Not-Executed"));
                 respond(
                     stream,
--- a/review/standin-3/slow_reader.rs
+++ b/review/standin-3/slow_reader.rs
@@ -13,6 +13,8 @@
 const RATE: usize = 270_000;
 const DEADLINE_MS: u64 = 8_000;
 const CLIENTS: usize = 5;
+/// Time before the requests: longer than `stable-window-ms` of the site, 4,000.
+const CALM: Duration = Duration::from_millis(4_500);
 
 fn config() -> String {
     format!(
@@ -26,6 +28,7 @@
     )
 }
 
+#[derive(Clone, Copy)]
 struct Answer {
     status: u16,
     stated: usize,
@@ -78,19 +81,21 @@
     let folder = Folder::create();
     let mut gateway = start(record, &folder)?;
     let caller = gateway.caller;
+    thread::sleep(CALM);
     let clients: Vec<_> = (0..CLIENTS)
         .map(|client| {
             let record = record.clone();
-            thread::spawn(move || -> std::io::Result<bool> {
+            thread::spawn(move || -> std::io::Result<Answer> {
                 let mut stream = connect_narrow(caller)?;
                 let mut reader = BufReader::new(stream.try_clone()?);
                 let attempt = new_attempt();
                 stream.write_all(request(&attempt, "/filing/long").as_bytes())?;
                 record.line(format!("sent client={client} attempt={attempt}"));
-                let Answer { status, stated, got, took } = read_slowly(&mut reader, RATE)?;
+                let answer = read_slowly(&mut reader, RATE)?;
+                let Answer { status, stated, got, took } = answer;
                 let whole = status == 200 && got == stated;
                 record.line(format!("answer client={client} attempt={attempt} status={status} stated={stated} got={got} after={took:.2} whole={whole}"));
-                Ok(whole)
+                Ok(answer)
             })
         })
         .collect();
@@ -101,6 +106,9 @@
     }
     let watch = record.clone();
     let stop = thread::spawn(move || {
+        if !has_trouble() {
+            return gateway;
+        }
         let start = Instant::now();
         while start.elapsed() < Duration::from_secs(8) {
             if let Some(status) = gateway.ended() {
@@ -108,16 +116,30 @@
                     "the process ended by itself {:.2} s after SIGTERM: {status}",
                     start.elapsed().as_secs_f64()
                 ));
-                return;
+                return gateway;
             }
             thread::sleep(Duration::from_millis(20));
         }
         watch.line("grace-s is over: SIGKILL");
         gateway.signal(SIGKILL);
+        gateway
     });
     let results: Vec<_> = clients.into_iter().map(|it| it.join().unwrap()).collect();
-    let _ = stop.join();
-    let lost = results.iter().filter(|it| !matches!(it, Ok(true))).count();
-    record.line(format!("lost {lost} of {CLIENTS}"));
+    drop(stop.join());
+    let mut lost = 0;
+    for result in results {
+        let answer = result.map_err(|err| format!("a request got no answer at all: {err}"))?;
+        if answer.status != 200 || answer.stated != LONG {
+            return Err(format!("a request was answered {}", answer.status));
+        }
+        let is_late = DEADLINE_MS as f64 / 1e3 <= answer.took;
+        if answer.got < answer.stated && is_late {
+            return Err("a client was too slow for its deadline".into());
+        }
+        lost += usize::from(answer.got < answer.stated);
+    }
+    record.line(format!(
+        "LOST: {lost} of {CLIENTS} answers, of which the runner had sent the whole, were cut"
+    ));
     Ok(lost == 0)
 }
--- a/review/standin-3/switching.rs
+++ b/review/standin-3/switching.rs
@@ -14,6 +14,8 @@
 /// The site's `garble`: 0.02 of the answers for 5.5 s. Here at one of three runners.
 const FAULT_TIME: Duration = Duration::from_millis(5_500);
 const SPOILED_EACH: usize = 50;
+/// Time before it: longer than `stable-window-ms`, so that the machine is in touch.
+const CALM: Duration = Duration::from_secs(4);
 /// `timeout-ms` of the route, and the client's deadline.
 const TIMEOUT_MS: u64 = 600;
 
@@ -57,12 +59,13 @@
             record.line(format!("run attempt={attempt} runner={own}"));
             thread::sleep(Duration::from_millis(15));
             let is_on = number == 1 && trouble.load(Ordering::Relaxed);
-            if is_on && count.fetch_add(1, Ordering::Relaxed) % SPOILED_EACH == 0 {
+            if is_on && count.fetch_add(1, Ordering::Relaxed) % SPOILED_EACH == SPOILED_EACH - 1 {
                 record.line(format!("spoiled attempt={attempt} runner={own} status=101"));
                 let head =
                     format!("HTTP/1.1 101 Switching Protocols\r\n{}\r\n", seal(&own, request));
                 stream.write_all(head.as_bytes())?;
-                return Ok(false);
+                // It doesn't break off: the connection stays open.
+                return Ok(true);
             }
             respond(stream, 200, &seal(&own, request), &[b'd'; 800])?;
             Ok(true)
@@ -71,8 +74,8 @@
     let folder = Folder::create();
     let gateway = Gateway::start(folder.path(), "front-1", address, &BRUGGER)?;
     let (start, mut served, mut strange, mut unanswered) = (Instant::now(), 0, 0, 0);
-    while start.elapsed() < Duration::from_millis(2_000) + FAULT_TIME {
-        let is_on = has_trouble() && Duration::from_secs(2) < start.elapsed();
+    while start.elapsed() < CALM + FAULT_TIME {
+        let is_on = has_trouble() && CALM < start.elapsed();
         if trouble.swap(is_on, Ordering::Relaxed) != is_on {
             record.line(format!("fault at i-desk1: {is_on}"));
         }
@@ -84,7 +87,7 @@
         served += usize::from(statuses == [200]);
         strange += usize::from(statuses.contains(&101));
         unanswered += usize::from(statuses.last().is_none_or(|status| *status < 200));
-        thread::sleep(Duration::from_millis(16));
+        thread::sleep(Duration::from_millis(4));
     }
     if served == 0 {
         return Err("nothing was served".into());
