Require keys while the configuration lists accounts, also none

Cause: the catalog required a key only while it counted accounts. An absent list was read as an empty one, so an emptied list opened the routes.

Without the list, requests need no key, but one that is carried must be known: it may have just been taken away. The log line of a configuration shows keys_required. Datagrams get a new version, as the catalog's encoding has changed.

Why it works: the state follows from what operators wrote and not from how many rows are left of it.

--- a/crates/catalog/src/catalog.rs
+++ b/crates/catalog/src/catalog.rs
@@ -44,7 +44,7 @@
     hosts: HashMap<SmolStr, HashMap<SmolStr, Arc<Route>>>,
     pools: HashMap<PoolId, Pool>,
     keys: HashMap<SmolStr, Arc<Account>>,
-    accounts: usize,
+    requires_keys: bool,
     limits: Limits,
     unusable_pools: HashSet<PoolId>,
     unusable_keys: HashSet<SmolStr>,
@@ -136,9 +136,19 @@
         &self.faults
     }
 
-    /// Returns true if there are accounts, so that requests need an account key.
-    pub fn has_accounts(&self) -> bool {
-        0 < self.accounts
+    /// Returns true if requests need the key of an account. That holds for each
+    /// configuration with a list of accounts, also if the list is empty: then no key is valid.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use briarshift_catalog::Catalog;
+    /// use briarshift_units::Revision;
+    /// assert!(!Catalog::builder(Revision(7)).build().requires_keys());
+    /// assert!(Catalog::builder(Revision(8)).require_keys().build().requires_keys());
+    /// ```
+    pub fn requires_keys(&self) -> bool {
+        self.requires_keys
     }
 }
 
@@ -162,16 +172,23 @@
         self
     }
 
-    /// Adds an account with its keys.
+    /// Requires the key of an account for all requests, also while there is no account.
+    #[must_use]
+    pub fn require_keys(mut self) -> Self {
+        self.0.requires_keys = true;
+        self
+    }
+
+    /// Adds an account with its keys. Requests need a key from then on.
     #[must_use]
     pub fn account(mut self, account: Account, keys: impl IntoIterator<Item = SmolStr>) -> Self {
         let account = Arc::new(account);
-        self.0.accounts += 1;
+        self.0.requires_keys = true;
         self.0.keys.extend(keys.into_iter().map(|key| (key, Arc::clone(&account))));
         self
     }
 
-    /// Adds an account that can't be used, with its keys.
+    /// Adds an account that can't be used, with its keys. Requests need a key from then on.
     ///
     /// # Examples
     ///
@@ -179,12 +196,12 @@
     /// use briarshift_catalog::Catalog;
     /// use briarshift_units::Revision;
     /// let catalog = Catalog::builder(Revision(7)).unusable_account(["k-1".into()]).build();
-    /// assert!(catalog.has_accounts() && catalog.is_unusable_key("k-1"));
+    /// assert!(catalog.requires_keys() && catalog.is_unusable_key("k-1"));
     /// assert!(catalog.account_by_key("k-1").is_none());
     /// ```
     #[must_use]
     pub fn unusable_account(mut self, keys: impl IntoIterator<Item = SmolStr>) -> Self {
-        self.0.accounts += 1;
+        self.0.requires_keys = true;
         self.0.unusable_keys.extend(keys);
         self
     }
--- a/crates/catalog/tests/all/main.rs
+++ b/crates/catalog/tests/all/main.rs
@@ -15,7 +15,7 @@
         Account { id: "bakery".parse().unwrap(), name: "bakery".into(), priority: Some(2) };
     let catalog =
         Catalog::builder(Revision(1)).account(account, ["k-1".into(), "k-2".into()]).build();
-    assert!(catalog.has_accounts());
+    assert!(catalog.requires_keys());
     assert_eq!(catalog.account_by_key("k-2").unwrap().id.as_str(), "bakery");
     assert!(catalog.account_by_key("k-3").is_none());
 }
--- a/crates/gateway/src/request/admit.rs
+++ b/crates/gateway/src/request/admit.rs
@@ -73,15 +73,20 @@
     }
 }
 
+/// Returns the account whose key a request carries, `None` if it needs no key. A key that
+/// the configuration doesn't hold is refused even where none is needed: it may have been
+/// taken away.
 fn account(
     catalog: &Catalog,
     route: &Route,
     arrival: &Arrival,
 ) -> Result<Option<Arc<Account>>, Cause> {
-    if route.public || !catalog.has_accounts() {
+    if route.public {
         return Ok(None);
     }
-    let key = arrival.key.as_ref().ok_or(Cause::NoAccount)?;
+    let Some(key) = &arrival.key else {
+        return if catalog.requires_keys() { Err(Cause::NoAccount) } else { Ok(None) };
+    };
     if catalog.is_unusable_key(key) {
         return Err(Cause::Unusable);
     }
--- a/crates/gateway/src/sync/catalog.rs
+++ b/crates/gateway/src/sync/catalog.rs
@@ -83,7 +83,8 @@
             Record::new("catalog")
                 .with("revision", catalog.revision())
                 .with("before", known.unwrap_or_default())
-                .with("routes", catalog.route_count()),
+                .with("routes", catalog.route_count())
+                .with("keys_required", catalog.requires_keys()),
         );
         for fault in catalog.faults() {
             let line = Record::new("catalog_fault").with("revision", catalog.revision());
--- a/crates/wire/src/datagram.rs
+++ b/crates/wire/src/datagram.rs
@@ -13,7 +13,7 @@
 use crate::{Error, versioned};
 
 /// Version of the encoding, the first byte of each datagram.
-const VERSION: u8 = 5;
+const VERSION: u8 = 6;
 
 /// The message that a datagram carries.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
