Pass no promise of "not run" on that a target did not make

Cause: each failure of a target was delivered whatever its status, and each status below 500, so also 408 and 429, was passed on as a good answer without asking the reducer.

Change: such an end is a kind of its own, Ambiguous. The request may have run, its answer is dropped and the target has failed; what may be repeated goes to another target, all else is refused as unknown (502). The log says end=ambiguous.

Why it works: only a target's own report that it did not run a request leads to a status that says so, on each path.

--- a/crates/daemon/src/gateway/response.rs
+++ b/crates/daemon/src/gateway/response.rs
@@ -22,6 +22,10 @@
     "upgrade",
 ];
 
+/// Statuses by which callers conclude that a request has not run and never will. An answer
+/// with one of them is passed on only if its target reports that it did not run the request.
+pub(super) const NOT_RUN_STATUSES: [u16; 4] = [408, 421, 429, 503];
+
 /// Longest piece of an answer that is handed over to its connection, in bytes.
 const MAX_PIECE: usize = 32 << 10;
 
--- a/crates/daemon/src/gateway/task.rs
+++ b/crates/daemon/src/gateway/task.rs
@@ -95,6 +95,15 @@
     Complete { head: Head, body: Bytes, report: Option<Report> },
 }
 
+/// Returns how an attempt ended whose whole answer has this status.
+fn end_of(status: u16) -> End {
+    match status {
+        status if response::NOT_RUN_STATUSES.contains(&status) => End::Ambiguous { status },
+        ..500 => End::Complete { ok: true },
+        status => End::Failed { status },
+    }
+}
+
 /// An attempt that gave no answer for the caller.
 pub(super) struct FailedAttempt {
     pub(super) end: End,
@@ -127,7 +136,8 @@
         let (end, report) = match self.result.take() {
             None => return,
             Some(Ok(TargetAnswer::Complete { head, report, .. })) => {
-                (End::Complete { ok: head.status < 500 }, report)
+                let ok = matches!(end_of(head.status), End::Complete { ok: true });
+                (End::Complete { ok }, report)
             }
             Some(Ok(TargetAnswer::Stream { report, .. })) => (End::Complete { ok: true }, report),
             Some(Err(FailedAttempt { end, report })) => (end, report),
@@ -201,15 +211,19 @@
                     let relay = Relay::new(Rc::clone(this), job, guard, decisions, stream);
                     return response::from_target(&head, close).streaming(relay.stream(first));
                 }
-                Ok(TargetAnswer::Complete { head, body, report }) if head.status < 500 => {
-                    drop(attempts);
-                    guard.disarm();
-                    this.report_end(send.id, End::Complete { ok: true }, report);
-                    return response::whole(&head, this.shared.is_draining(), body);
-                }
                 Ok(TargetAnswer::Complete { head, body, report }) => {
-                    this.report_end(send.id, End::Failed { status: head.status }, report);
-                    failed_answer = Some((head, body));
+                    let end = end_of(head.status);
+                    match end {
+                        End::Complete { .. } => {
+                            drop(attempts);
+                            guard.disarm();
+                            this.report_end(send.id, end, report);
+                            return response::whole(&head, this.shared.is_draining(), body);
+                        }
+                        End::Failed { .. } => failed_answer = Some((head, body)),
+                        _ => {}
+                    }
+                    this.report_end(send.id, end, report);
                 }
                 Err(FailedAttempt { end, report }) => this.report_end(send.id, end, report),
             }
--- a/crates/gateway/src/request/event.rs
+++ b/crates/gateway/src/request/event.rs
@@ -108,6 +108,12 @@
         /// HTTP status of the answer.
         status: u16,
     },
+    /// The target answered with a status by which callers conclude that the request has not
+    /// run, but did not report so. It may have run: the answer is not delivered.
+    Ambiguous {
+        /// HTTP status of the answer.
+        status: u16,
+    },
     /// Nothing was written to the target: it was not reached in time.
     NotSent {
         /// Description of the failure.
--- a/crates/gateway/src/request/hedge.rs
+++ b/crates/gateway/src/request/hedge.rs
@@ -121,7 +121,10 @@
         match end {
             End::Complete { .. } if active.answer_began => {}
             End::Complete { .. } => self.record_answer(ctx, pending, active),
-            End::Failed { .. } | End::Interrupted { .. } | End::AnswerTimeout => {
+            End::Failed { .. }
+            | End::Ambiguous { .. }
+            | End::Interrupted { .. }
+            | End::AnswerTimeout => {
                 self.record_unanswered(ctx, pending, active);
             }
             End::NotSent { .. } | End::NotRun { .. } | End::ConfigExpired => {}
--- a/crates/gateway/src/request/pending.rs
+++ b/crates/gateway/src/request/pending.rs
@@ -94,7 +94,8 @@
         }
         self.tried.push(active.target.clone());
         self.holds_failure |= matches!(end, End::Failed { .. });
-        self.may_have_run |= matches!(end, End::Interrupted { .. } | End::AnswerTimeout);
+        self.may_have_run |=
+            matches!(end, End::Ambiguous { .. } | End::Interrupted { .. } | End::AnswerTimeout);
     }
 
     /// Returns what to suspect if the target turns out to have crashed. Only a prompt
--- a/crates/gateway/src/request/record.rs
+++ b/crates/gateway/src/request/record.rs
@@ -134,6 +134,7 @@
     match end {
         End::Complete { ok } => line.with("end", if *ok { "whole" } else { "whole_failure" }),
         End::Failed { status } => line.with("end", "failed").with("status", status),
+        End::Ambiguous { status } => line.with("end", "ambiguous").with("status", status),
         End::NotSent { reason } => line.with("end", "not_sent").with("reason", reason),
         End::ConfigExpired => line.with("end", "fenced"),
         End::NotRun { status, moved } => {
--- a/crates/gateway/src/request/state.rs
+++ b/crates/gateway/src/request/state.rs
@@ -230,6 +230,7 @@
             End::NotRun { .. } => Action::Refuse(Cause::TurnedAway),
             _ if is_idempotent && self.take_retry(step, request) => Action::Retry,
             End::Failed { .. } => Action::Deliver,
+            End::Ambiguous { .. } => Action::Refuse(Cause::Unknown),
             End::Interrupted { .. } | End::AnswerTimeout if is_expired => {
                 Action::Refuse(Cause::TimedOut)
             }
@@ -360,7 +361,9 @@
         End::NotRun { moved: true, .. } => targets.mark_moved(target, at),
         // A target that asks for a pause is not ill.
         End::NotRun { .. } if asks_for_pause => {}
-        End::Failed { .. } | End::NotRun { .. } => targets.record_answer(target, false, at),
+        End::Failed { .. } | End::Ambiguous { .. } | End::NotRun { .. } => {
+            targets.record_answer(target, false, at);
+        }
         End::NotSent { .. } | End::AnswerTimeout => {
             targets.record_unreachable(target, at);
             if targets.has_interrupted(target, at) {
--- a/crates/gateway/tests/all/random.rs
+++ b/crates/gateway/tests/all/random.rs
@@ -30,7 +30,7 @@
 fn step() -> impl Strategy<Value = Step> {
     prop_oneof![
         6 => (0..PATHS.len()).prop_map(Step::RequestArrives),
-        6 => (any::<usize>(), 0..8_usize).prop_map(|(which, end)| Step::End(which, end)),
+        6 => (any::<usize>(), 0..9_usize).prop_map(|(which, end)| Step::End(which, end)),
         1 => any::<usize>().prop_map(Step::CallerLeaves),
         3 => (0..1500_u64).prop_map(Step::TimePasses),
         1 => proptest::strategy::Just(Step::StoreFails),
@@ -49,6 +49,7 @@
         4 => End::NotRun { status: 503, moved: false },
         5 => End::NotRun { status: 421, moved: true },
         6 => interrupted(),
+        7 => End::Ambiguous { status: 503 },
         _ => End::AnswerTimeout,
     }
 }
--- a/crates/gateway/tests/all/retry.rs
+++ b/crates/gateway/tests/all/retry.rs
@@ -19,10 +19,13 @@
     for path in ["/book/a", "/chat/a"] {
         assert_eq!(expect_refusal(decision_after(path, interrupted())), Cause::Unknown);
         assert_eq!(expect_refusal(decision_after(path, End::AnswerTimeout)), Cause::Unknown);
+        let ambiguous = End::Ambiguous { status: 503 };
+        assert_eq!(expect_refusal(decision_after(path, ambiguous)), Cause::Unknown);
     }
     for path in ["/safe/a", "/long/a"] {
         expect_send(decision_after(path, interrupted()));
         expect_send(decision_after(path, End::AnswerTimeout));
+        expect_send(decision_after(path, End::Ambiguous { status: 503 }));
     }
 }
 
@@ -51,6 +54,9 @@
     let first = expect_send(world.arrive("/safe/a"));
     let second = expect_send(world.end(&first, End::Failed { status: 500 }).unwrap());
     assert_eq!(world.end(&second, interrupted()), Some(Decision::Deliver));
+    let first = expect_send(world.arrive("/safe/a"));
+    let second = expect_send(world.end(&first, End::Failed { status: 500 }).unwrap());
+    assert_eq!(world.end(&second, End::Ambiguous { status: 503 }), Some(Decision::Deliver));
 }
 
 #[test]
