Let callers read their answers to the end in a planned stop

Cause: a stop waited until no request was in flight in the reducer, which counts to the end of the target's answer, gave the HTTP server 50 ms, and dropped all connections.

Change: when no request is in flight, the listener and idle connections are closed as early as before. The process then waits until the server has written the answers that are left, to 0.15 s before the end of the grace time at the latest, which the reducer decides. Close no longer blocks its thread.

Why it works: only the server knows when an answer is written, and told to close, it ends each connection after its answer.

--- a/crates/daemon/src/gateway/control.rs
+++ b/crates/daemon/src/gateway/control.rs
@@ -11,7 +11,7 @@
 use briarshift_gateway::status::Status;
 use briarshift_gateway::{Check, Effect, Event, Identity, Kind, State};
 use briarshift_store::registry::{Call, Registry};
-use briarshift_units::RequestId;
+use briarshift_units::{Moment, RequestId};
 use tokio::net::TcpStream;
 use tokio::sync::{mpsc, watch};
 
@@ -41,7 +41,7 @@
     /// Sends commands to the traffic thread.
     commands: mpsc::UnboundedSender<Command>,
     pending: PendingRequests<Decision>,
-    drained: watch::Sender<bool>,
+    drained: watch::Sender<Option<Moment>>,
 }
 
 /// An event for the reducer.
@@ -92,13 +92,13 @@
             metrics,
             commands,
             pending: PendingRequests::default(),
-            drained: watch::Sender::new(false),
+            drained: watch::Sender::new(None),
         }
     }
 
-    /// Returns a channel whose value becomes true once the drain is complete and the
-    /// process may stop.
-    pub(crate) fn drained(&self) -> watch::Receiver<bool> {
+    /// Returns a channel that gets a value once the drain is complete and the process may
+    /// stop: when it must have stopped.
+    pub(crate) fn drained(&self) -> watch::Receiver<Option<Moment>> {
         self.drained.subscribe()
     }
 
@@ -134,8 +134,8 @@
                 self.metrics.count_event(&record);
                 log::info!("{record}");
             }
-            Effect::Drained => {
-                self.drained.send_replace(true);
+            Effect::Drained { end } => {
+                self.drained.send_replace(Some(end));
             }
         }
     }
--- a/crates/daemon/src/gateway/daemon.rs
+++ b/crates/daemon/src/gateway/daemon.rs
@@ -1,6 +1,6 @@
 //! Starts and stops a gateway VM's process.
 
-use std::net::{SocketAddr, TcpListener};
+use std::net::{Shutdown, SocketAddr, TcpListener};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::thread;
@@ -19,9 +19,10 @@
 use briarshift_routing::selection::Bound;
 use briarshift_settings::Gateway as Settings;
 use briarshift_store::registry::{Registry, Secret};
-use briarshift_units::{MegabitsPerSecond, Size, Span};
+use briarshift_units::{MegabitsPerSecond, Moment, Size, Span};
 use tokio::sync::{mpsc, oneshot, watch};
 
+use super::connections::Connections;
 use super::control::{Control, Input};
 use super::link::Link;
 use super::listener::BACKLOG;
@@ -30,7 +31,7 @@
 use super::task::{Command, Worker};
 use super::{clock, listener, operator};
 
-/// How long a stopping process waits for its last responses to be written:
+/// How long a stopping process waits for its last responses to be begun:
 /// several iterations of the traffic thread's event loop on a slow core.
 const FINAL_FLUSH_DELAY: Duration = Duration::from_millis(50);
 /// Share of a VM's memory that may hold the bodies of requests and answers. The rest is for
@@ -71,8 +72,8 @@
     caller: SocketAddr,
     operator: SocketAddr,
     control: Addr<Control>,
-    drained: watch::Receiver<bool>,
-    stop: oneshot::Sender<()>,
+    drained: watch::Receiver<Option<Moment>>,
+    stop: oneshot::Sender<Stop>,
     thread: thread::JoinHandle<anyhow::Result<()>>,
 }
 
@@ -82,8 +83,15 @@
     caller: SocketAddr,
     operator: SocketAddr,
     control: Addr<Control>,
-    drained: watch::Receiver<bool>,
-    stop: oneshot::Sender<()>,
+    drained: watch::Receiver<Option<Moment>>,
+    stop: oneshot::Sender<Stop>,
+}
+
+/// How long a process that stops waits for callers to read their answers.
+#[derive(Debug, Clone, Copy)]
+enum Stop {
+    Now,
+    By(Moment),
 }
 
 impl Gateway {
@@ -125,7 +133,8 @@
     }
 
     /// Shuts down gracefully: reports that it is not ready, still serves requests that
-    /// arrive, and stops when none is in flight or the grace time is over.
+    /// arrive, and stops when none is in flight and callers have their answers, or the grace
+    /// time is over.
     ///
     /// # Errors
     ///
@@ -134,8 +143,10 @@
         self.control.do_send(Input(Kind::Drain));
         // An error means that the actor, which owns the sender, has stopped; then no
         // request is in flight either.
-        let _ = self.drained.wait_for(|drained| *drained).await;
-        self.abort()
+        let drained = self.drained.wait_for(Option::is_some).await;
+        let stop = drained.ok().and_then(|end| *end).map_or(Stop::Now, Stop::By);
+        let stopped = actix_rt::task::spawn_blocking(move || self.stop(stop)).await;
+        stopped.context("the thread that waits for the control thread panicked")?
     }
 
     /// Stops without draining. Responses that are ready still have a few
@@ -145,8 +156,12 @@
     ///
     /// Fails if the control thread failed.
     pub fn abort(self) -> anyhow::Result<()> {
+        self.stop(Stop::Now)
+    }
+
+    fn stop(self, stop: Stop) -> anyhow::Result<()> {
         // Sending fails if the control thread has already stopped.
-        let _ = self.stop.send(());
+        let _ = self.stop.send(stop);
         self.thread.join().map_err(|_| anyhow!("the control thread panicked"))?
     }
 }
@@ -154,7 +169,7 @@
 /// Runs the gateway on the control thread until its handle stops it.
 async fn serve(options: Options, ready: std::sync::mpsc::Sender<Handles>) -> anyhow::Result<()> {
     let Options { settings, features, registry, header_codec } = options;
-    let (stop, stopped) = oneshot::channel::<()>();
+    let (stop, stopped) = oneshot::channel();
     let link = Link::bind(settings.peer_address).await?;
     let identity = identity(&settings, features, &link)?;
     log::info!(
@@ -174,8 +189,19 @@
     let control = control.start();
     actix_rt::spawn(forward_datagrams(link, control.clone()));
 
-    let (caller, callers) =
-        caller_server(&settings, &control, &shared, header_codec, command_receiver)?;
+    let connections = Connections::default();
+    let listener = bind_listener(settings.caller_address)?;
+    let caller = listener.local_addr()?;
+    let closing_listener = listener.try_clone().context("cannot copy the callers' listener")?;
+    let callers = caller_server(
+        listener,
+        settings.memory_mb,
+        &control,
+        &shared,
+        &connections,
+        header_codec,
+        command_receiver,
+    )?;
     let (operator, operators) = operator_server(&settings, &control, &shared, &metrics)?;
     let servers: [ServerHandle; 2] = [callers.handle(), operators.handle()];
     actix_rt::spawn(callers);
@@ -184,11 +210,17 @@
         .send(Handles { caller, operator, control, drained, stop })
         .map_err(|_| anyhow!("the thread that started this gateway no longer waits for it"))?;
     // An error means that the `Gateway` was dropped, which also stops the process.
-    let _ = stopped.await;
+    let stop = stopped.await.unwrap_or(Stop::Now);
     // Connections that are not accepted yet stay unanswered. Requests that were read
     // get their responses within the delay.
     servers[0].pause().await;
     actix_rt::time::sleep(FINAL_FLUSH_DELAY).await;
+    if let Stop::By(end) = stop {
+        // Callers that connect from now on learn at once that they must go elsewhere.
+        let _ = socket2::SockRef::from(&closing_listener).shutdown(Shutdown::Both);
+        let cut = connections.close(end.since(clock::now()).into()).await;
+        log::info!("event=connections_closed cut={cut}");
+    }
     for server in &servers {
         server.stop(false).await;
     }
@@ -267,16 +299,16 @@
 }
 
 fn caller_server(
-    settings: &Settings,
+    listener: TcpListener,
+    memory_mb: Option<f64>,
     control: &Addr<Control>,
     shared: &Shared,
+    connections: &Connections,
     header_codec: HeaderCodecFactory,
     command_receiver: mpsc::UnboundedReceiver<Command>,
-) -> anyhow::Result<(SocketAddr, Server)> {
-    let listener = bind_listener(settings.caller_address)?;
-    let address = listener.local_addr()?;
+) -> anyhow::Result<Server> {
     let (control, shared) = (control.clone(), shared.clone());
-    let memory = settings.memory_mb.map_or_else(Memory::default, |megabytes| {
+    let memory = memory_mb.map_or_else(Memory::default, |megabytes| {
         Memory::new(Size((megabytes * BODY_MEMORY_SHARE * f64::from(1 << 20)) as u64))
     });
     // There is one traffic thread, whose client gets all commands.
@@ -291,7 +323,7 @@
         }
         Rc::new(Worker::new(control.clone(), header_codec(), own_shared.clone(), client))
     };
-    Ok((address, listener::serve(listener, &shared, worker)?))
+    listener::serve(listener, &shared, connections, worker)
 }
 
 /// Executes the control thread's commands on the traffic thread.
--- a/crates/daemon/src/gateway/listener.rs
+++ b/crates/daemon/src/gateway/listener.rs
@@ -20,6 +20,7 @@
 use futures::future::{FutureExt, LocalBoxFuture};
 
 use super::caller;
+use super::connections::Connections;
 use super::shared::Shared;
 use super::task::Worker;
 
@@ -57,22 +58,25 @@
 pub(super) fn serve(
     listener: TcpListener,
     shared: &Shared,
+    connections: &Connections,
     worker: impl Fn() -> Rc<Worker> + Clone + Send + 'static,
 ) -> anyhow::Result<Server> {
-    let shared = shared.clone();
+    let (shared, connections) = (shared.clone(), connections.clone());
     let factory = move || {
-        let (shared, worker) = (shared.clone(), worker.clone());
+        let (shared, connections, worker) = (shared.clone(), connections.clone(), worker.clone());
         fn_factory(move || {
-            let (shared, worker) = (shared.clone(), worker());
+            let (shared, connections, worker) = (shared.clone(), connections.clone(), worker());
             let current = Rc::new(Current::default());
             let connection = move |stream: TcpStream| {
                 let idle_timeout = Duration::from(shared.idle_timeout());
                 let (worker, current) = (Rc::clone(&worker), Rc::clone(&current));
+                let connections = connections.clone();
                 async move {
+                    let _open = connections.open();
                     let handler = match current.get(idle_timeout) {
                         Some(handler) => handler,
                         None => {
-                            let handler = handler(worker, idle_timeout).await?;
+                            let handler = handler(worker, connections, idle_timeout).await?;
                             current.set(idle_timeout, &handler);
                             handler
                         }
@@ -94,7 +98,11 @@
 }
 
 /// Builds the handler of connections that may be idle for this time.
-async fn handler(worker: Rc<Worker>, idle_timeout: Duration) -> Result<Handler, ()> {
+async fn handler(
+    worker: Rc<Worker>,
+    connections: Connections,
+    idle_timeout: Duration,
+) -> Result<Handler, ()> {
     let app = App::new()
         .app_data(web::Data::new(worker))
         .default_service(web::to(caller::serve))
@@ -104,6 +112,7 @@
         .keep_alive(KeepAlive::Timeout(idle_timeout))
         .client_request_timeout(HEADER_TIMEOUT)
         .client_disconnect_timeout(DISCONNECT_TIMEOUT)
+        .graceful_shutdown_signal(move || connections.closing())
         // A caller that closes its sending side counts as gone.
         .h1_allow_half_closed(false)
         .finish(map_config(app, |()| AppConfig::default()))
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -9,6 +9,7 @@
 mod response;
 mod caller;
 mod clock;
+mod connections;
 mod control;
 mod daemon;
 mod link;
--- a/crates/gateway/src/drain.rs
+++ b/crates/gateway/src/drain.rs
@@ -6,11 +6,15 @@
 //! deadline: one that could outlast the process is refused as not run, and its
 //! caller repeats it on another VM. What an accepted request is expected to take
 //! does not count, since a slow target would make the promise untrue.
+//!
+//! An answer is owed until its caller has read it. The process therefore stays after the
+//! last request has ended here, without taking new ones, until all answers are written or
+//! the grace time is nearly over.
 
 use briarshift_logging::Record;
 use briarshift_units::{Moment, Span};
 
-use crate::limit::{DRAIN_FLUSH, DRAIN_RESERVE, DRAIN_SETTLE};
+use crate::limit::{DRAIN_EXIT, DRAIN_FLUSH, DRAIN_RESERVE, DRAIN_SETTLE};
 use crate::request::Leaving;
 use crate::{Context, Output};
 
@@ -21,7 +25,11 @@
     Draining(Moment),
     /// No request is accepted any more; the last answers and refusals are being
     /// sent.
-    Closing(Moment),
+    Closing {
+        /// When the shutdown started.
+        since: Moment,
+        at: Moment,
+    },
     Ended,
 }
 
@@ -30,8 +38,9 @@
 pub enum Step {
     /// Nothing.
     Wait,
-    /// The process ends now. Requests that are still in flight have to be answered.
-    End,
+    /// Requests that are still in flight have to be answered now. The process ends when
+    /// callers have read their answers, at this time at the latest.
+    End(Moment),
 }
 
 /// Progress of a shutdown.
@@ -62,15 +71,15 @@
             Phase::Draining(since) => {
                 let idle = DRAIN_SETTLE <= ctx.at.since(since) && in_flight == 0;
                 if idle || last_answer_at(since, ctx.me.bounds.grace) <= ctx.at {
-                    self.phase = Phase::Closing(ctx.at);
+                    self.phase = Phase::Closing { since, at: ctx.at };
                     out.log(Record::new("closing").with("in_flight", in_flight));
                 }
                 Step::Wait
             }
-            Phase::Closing(since) if DRAIN_FLUSH <= ctx.at.since(since) => {
+            Phase::Closing { since, at } if DRAIN_FLUSH <= ctx.at.since(at) => {
                 self.phase = Phase::Ended;
                 out.log(Record::new("drained").with("in_flight", in_flight));
-                Step::End
+                Step::End(since + (ctx.me.bounds.grace - DRAIN_EXIT))
             }
             _ => Step::Wait,
         }
@@ -82,7 +91,7 @@
             Phase::Running => Leaving::No,
             Phase::Draining(since) if now.since(since) < DRAIN_SETTLE => Leaving::No,
             Phase::Draining(since) => Leaving::AcceptsUntil(last_answer_at(since, grace)),
-            Phase::Closing(_) | Phase::Ended => Leaving::RefusesAll,
+            Phase::Closing { .. } | Phase::Ended => Leaving::RefusesAll,
         }
     }
 }
--- a/crates/gateway/src/effect.rs
+++ b/crates/gateway/src/effect.rs
@@ -5,7 +5,7 @@
 use briarshift_catalog::Limits;
 use briarshift_logging::Record;
 use briarshift_store::registry::{Call, Secret};
-use briarshift_units::{RequestId, TargetId};
+use briarshift_units::{Moment, RequestId, TargetId};
 use briarshift_wire::datagram::Datagram;
 
 use crate::request::Decision;
@@ -54,6 +54,10 @@
     CloseConnections(SocketAddr),
     /// Write a log record.
     Log(Record),
-    /// The drain is complete: the process may exit.
-    Drained,
+    /// The drain is complete: no request is in flight, and the process may exit once callers
+    /// have read their answers.
+    Drained {
+        /// When it exits at the latest.
+        end: Moment,
+    },
 }
--- a/crates/gateway/src/limit.rs
+++ b/crates/gateway/src/limit.rs
@@ -265,6 +265,9 @@
 pub const DRAIN_RESERVE: Span = Span::from_millis(400);
 /// Time that a VM that accepts nothing more stays up to send its last refusals.
 pub const DRAIN_FLUSH: Span = Span::from_millis(250);
+/// Part of the grace time that is left when callers that still read their answers are cut
+/// off, for the process to exit on a slow core.
+pub const DRAIN_EXIT: Span = Span::from_millis(150);
 /// Part of a long wait over which the return of refused callers is spread.
 pub const RETRY_SPREAD_DIVISOR: u64 = 8;
 /// Minimum retry delay for callers refused because this VM is about to stop:
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -378,9 +378,9 @@
             out.log(Record::new("ready").with("ready", ready));
             out.push(Effect::SetReady(ready));
         }
-        if self.drain.advance(ctx, self.requests.len(), out) == drain::Step::End {
+        if let drain::Step::End(end) = self.drain.advance(ctx, self.requests.len(), out) {
             self.requests.end_all(ctx, out);
-            out.push(Effect::Drained);
+            out.push(Effect::Drained { end });
         }
     }
 }
--- a/crates/gateway/tests/all/drain.rs
+++ b/crates/gateway/tests/all/drain.rs
@@ -99,6 +99,27 @@
     assert_eq!(expect_refusal(decision), Cause::Unknown);
 }
 
+/// Guards against a process that outlives its grace time, or cuts callers off before it.
+#[test]
+fn callers_have_nearly_the_whole_grace_time_to_read_their_answers() {
+    for holds_up in [false, true] {
+        let mut world = World::new(&["t-1"]);
+        if holds_up {
+            expect_send(world.arrive("/long/a"));
+        }
+        let stop = world.now;
+        world.apply(Kind::Drain);
+        while !world.drained {
+            world.advance(25);
+            world.reply_rows(changes(), Ok(Vec::new()));
+            world.tick();
+        }
+        let end = world.end.unwrap();
+        assert!(world.now <= end && end < stop + GRACE, "{end:?}");
+        assert!(stop + (GRACE - DRAIN_RESERVE) < end, "{end:?}");
+    }
+}
+
 proptest! {
     /// Whatever a stop is held up by, a request that is accepted once callers have
     /// noticed it ends by its deadline before the last answers are sent.
--- a/crates/gateway/tests/all/world.rs
+++ b/crates/gateway/tests/all/world.rs
@@ -37,6 +37,8 @@
     pub delegate_addresses: Vec<SocketAddr>,
     /// Whether the process may exit.
     pub drained: bool,
+    /// When the process exits at the latest.
+    pub end: Option<Moment>,
     entropy: u64,
     era: Era,
     version: u64,
@@ -96,6 +98,7 @@
             closed: Vec::new(),
             delegate_addresses: Vec::new(),
             drained: false,
+            end: None,
             entropy: 7,
             era: Era(0),
             version: 10,
@@ -112,7 +115,10 @@
                 Effect::Decide { request, decision } => self.decisions.push((request, decision)),
                 Effect::Call(call) => self.calls.push(call),
                 Effect::CloseConnections(address) => self.closed.push(address),
-                Effect::Drained => self.drained = true,
+                Effect::Drained { end } => {
+                    self.drained = true;
+                    self.end = Some(end);
+                }
                 Effect::Send { datagram, address } => {
                     if matches!(datagram, Datagram::SyncRequest(_)) {
                         self.delegate_addresses.push(address);
