Take a switch of protocols for a broken answer

Cause: the HTTP client hands a 101 over as a response, and each status below 500 was passed on.

Change: a response of the class 1xx is a broken one, for routed services and for serve's targets: 502, may have run; what may be repeated goes elsewhere.

Why it works: no request asks for another protocol, so a 101 is never an answer to it, and what follows on the connection is no HTTP.

--- a/crates/forward/src/client.rs
+++ b/crates/forward/src/client.rs
@@ -113,7 +113,8 @@
     ///
     /// # Errors
     ///
-    /// Returns a [`Failure`], which tells whether anything was written.
+    /// Returns a [`Failure`], which tells whether anything was written. A response that ends
+    /// HTTP on the connection, which no request asks for, is a broken one.
     pub async fn send(
         &self,
         ready: ReadyConnection,
@@ -136,6 +137,9 @@
         };
         meter.end_head();
         let (head, body) = response.into_parts();
+        if head.status.is_informational() {
+            return Err(Failure::Broken("switches protocols, which was not asked for".into()));
+        }
         // An answer of a failure is told even if its target went on to close the connection.
         let is_framed = body.size_hint().exact().is_some() || is_chunked(&head.headers);
         let unframed = (head.status.is_success() && !is_framed).then_some(meter);
--- a/crates/forward/tests/all/main.rs
+++ b/crates/forward/tests/all/main.rs
@@ -103,6 +103,18 @@
     });
 }
 
+/// Guards against an answer that its request can't have, after which no other comes.
+#[test]
+fn a_switch_of_protocols_is_reported_as_broken() {
+    const SWITCH: &str = "HTTP/1.1 101 Switching Protocols\r\nUpgrade: other\r\n\r\n";
+    check(&[&[SWITCH, OK], &[OK]], async |client, address| {
+        assert!(matches!(call(&client, address).await, Err(Failure::Broken(_))));
+        settle().await;
+        assert_eq!(client.open_connections(address), 0);
+        assert_eq!(call(&client, address).await.unwrap(), "ok");
+    });
+}
+
 #[test]
 fn bodies_without_length_end_with_the_connection() {
     const UNFRAMED: &str = "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nok";
--- a/crates/target/src/http.rs
+++ b/crates/target/src/http.rs
@@ -65,6 +65,9 @@
             request = request.content_type(content_type.as_str());
         }
         let response = request.send_body(call.body).await.map_err(|err| send_failure(&err))?;
+        if response.status().is_informational() {
+            return Err(Failure::Broken("switches protocols, which was not asked for".into()));
+        }
         let header = |name: &str| response.headers().get(name)?.to_str().ok().map(Into::into);
         let status = response.status().as_u16();
         let content_type = header("content-type");
--- a/crates/target/tests/all/http.rs
+++ b/crates/target/tests/all/http.rs
@@ -81,6 +81,15 @@
     check("HTTP/1.1 200 OK\r\nx-req", |result| matches!(result, Err(Failure::Broken(_))));
 }
 
+/// Guards against an answer that its request can't have.
+#[test]
+fn a_switch_of_protocols_is_not_a_response() {
+    check(
+        "HTTP/1.1 101 Switching Protocols\r\nx-request-id: 0000000000000001.1\r\ncontent-length: 0\r\n\r\n",
+        |result| matches!(result, Err(Failure::Broken(_))),
+    );
+}
+
 #[test]
 fn refused_connections_are_reported_as_not_sent() {
     let address = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
