Answer a request for another protocol without waiting for a body

Cause: the HTTP server takes all that follows such a request for its body, and the gateway waited for the end of that.

Evidence: broken::a_request_for_another_protocol_is_answered_at_once fails on: 408 in place of 200.

Change: its body has the stated length, or is empty.

Why it works: nothing that the server can't frame is waited for.

Result: the new test passes with and without a stated length.

--- a/crates/daemon/src/gateway/caller.rs
+++ b/crates/daemon/src/gateway/caller.rs
@@ -12,7 +12,9 @@
 use briarshift_routing::selection::Part;
 use briarshift_units::{Fingerprint, RequestId, Size, Span};
 use futures::StreamExt;
-use http::header::{HeaderMap, HeaderName, HeaderValue};
+use http::header::{
+    CONTENT_LENGTH, HeaderMap, HeaderName, HeaderValue, TRANSFER_ENCODING, UPGRADE,
+};
 use smol_str::SmolStr;
 use tokio::time::timeout;
 use xxhash_rust::xxh3::Xxh3;
@@ -60,7 +62,8 @@
     };
     let (max_body, read_timeout) = worker.shared().limits();
     let memory = worker.memory();
-    let body = match read_body(payload, body_len(&headers), max_body, read_timeout, memory).await {
+    let len = body_len(&headers);
+    let body = match read_body(payload, len, max_body, read_timeout, memory).await {
         Ok(body) => body,
         Err(error) => return reject_body(&error, request_headers.attempt.as_str()),
     };
@@ -116,30 +119,55 @@
     host.unwrap_or_default().into()
 }
 
-/// Returns the length of the body that the headers state, if any.
-fn body_len(headers: &HeaderMap) -> Option<usize> {
-    headers.get(http::header::CONTENT_LENGTH)?.to_str().ok()?.parse().ok()
+/// How long a request's body is.
+#[derive(Debug, Clone, Copy)]
+enum BodyLen {
+    /// The HTTP server tells its end. The caller may have stated a length.
+    Framed(Option<usize>),
+    /// It has this length, and what follows is no part of it. The HTTP server takes all that
+    /// follows a request for another protocol for its body.
+    Exact(usize),
 }
 
-/// Reads a request's body, within a budget for all bodies. `expected` is the length that the
-/// caller states, `read_timeout` the longest wait for each chunk.
+/// Returns the length of the body that the headers state.
+fn body_len(headers: &HeaderMap) -> BodyLen {
+    let stated = headers.get(CONTENT_LENGTH).and_then(|len| len.to_str().ok()?.parse().ok());
+    let asks_for_protocol = headers.contains_key(UPGRADE);
+    match asks_for_protocol && !headers.contains_key(TRANSFER_ENCODING) {
+        true => BodyLen::Exact(stated.unwrap_or(0)),
+        false => BodyLen::Framed(stated),
+    }
+}
+
+/// Reads a request's body, within a budget for all bodies. `read_timeout` is the longest wait
+/// for each chunk.
 async fn read_body(
     mut payload: web::Payload,
-    expected: Option<usize>,
+    body_len: BodyLen,
     max_body: Size,
     read_timeout: Span,
     memory: &Memory,
 ) -> Result<Bytes, BodyError> {
+    let (expected, end) = match body_len {
+        BodyLen::Framed(expected) => (expected, None),
+        BodyLen::Exact(len) => (Some(len), Some(len)),
+    };
     let mut body = Some(memory.buffer(expected));
     let mut len = 0;
     loop {
+        if end.is_some_and(|end| end <= len) {
+            return body.map(Buffer::finish).ok_or(BodyError::NoMemory);
+        }
         let Ok(chunk) = timeout(read_timeout.into(), payload.next()).await else {
             return Err(BodyError::Timeout);
         };
         let Some(chunk) = chunk else {
             return body.map(Buffer::finish).ok_or(BodyError::NoMemory);
         };
-        let chunk = chunk.map_err(|_| BodyError::Incomplete)?;
+        let mut chunk = chunk.map_err(|_| BodyError::Incomplete)?;
+        if let Some(end) = end {
+            chunk.truncate(end - len);
+        }
         len += chunk.len();
         if max_body.0 < len as u64 {
             return Err(BodyError::TooLarge(max_body));
