Take an answer with a transfer coding other than chunked for broken

A target's answer with Transfer-Encoding: identity that broke off was passed on as whole.

Cause: the HTTP library drops the length beside a transfer coding, and takes the end of the connection for that of the answer.

Change: such an answer is a broken one, whatever else it states.

Why it works: without chunks or a length nothing tells a loss from the end.

--- a/crates/forward/src/client.rs
+++ b/crates/forward/src/client.rs
@@ -114,7 +114,8 @@
     /// # Errors
     ///
     /// Returns a [`Failure`], which tells whether anything was written. A response that ends
-    /// HTTP on the connection, which no request asks for, is a broken one.
+    /// HTTP on the connection, which no request asks for, is a broken one, and so is one
+    /// with a transfer coding other than chunked, which states no end.
     pub async fn send(
         &self,
         ready: ReadyConnection,
@@ -140,8 +141,12 @@
         if head.status.is_informational() {
             return Err(Failure::Broken("switches protocols, which was not asked for".into()));
         }
+        let is_coded = head.headers.contains_key(TRANSFER_ENCODING);
+        if is_coded && !is_chunked(&head.headers) {
+            return Err(Failure::Broken("has a transfer coding other than chunked".into()));
+        }
         // An answer of a failure is told even if its target went on to close the connection.
-        let is_framed = body.size_hint().exact().is_some() || is_chunked(&head.headers);
+        let is_framed = body.size_hint().exact().is_some() || is_coded;
         let unframed = (head.status.is_success() && !is_framed).then_some(meter);
         connection.set_keep_alive(keep_alive_timeout(&head.headers));
         Ok(Response {
