Take a coded body in chunks for broken too

What callers saw: nothing yet. Of Transfer-Encoding: gzip, chunked the chunks were taken off and the coded body passed on as the target's.

Cause: the check for chunks looked at the last coding only.

Change: chunked has to be the only coding.

--- a/crates/forward/src/client.rs
+++ b/crates/forward/src/client.rs
@@ -190,11 +190,13 @@
     head.body(Full::new(request.body)).map_err(not_sent)
 }
 
-/// Returns true if the body consists of chunks, the last of which tells its end.
+/// Returns true if the body consists of chunks, the last of which tells its end, without any
+/// other coding.
 fn is_chunked(headers: &HeaderMap) -> bool {
-    let last = headers.get_all(TRANSFER_ENCODING).iter().next_back();
-    let last = last.and_then(|value| value.to_str().ok()).unwrap_or_default();
-    last.trim_end().to_ascii_lowercase().ends_with("chunked")
+    let mut codings = headers.get_all(TRANSFER_ENCODING).iter();
+    let only = codings.next().filter(|_| codings.next().is_none());
+    let only = only.and_then(|value| value.to_str().ok()).unwrap_or_default();
+    only.trim().eq_ignore_ascii_case("chunked")
 }
 
 /// Returns the `timeout` of the `Keep-Alive` header: the time after which the
--- a/crates/forward/tests/all/main.rs
+++ b/crates/forward/tests/all/main.rs
@@ -104,16 +104,19 @@
 }
 
 /// Guards against part of an answer that passes for whole: the HTTP library drops the length of
-/// one that states a transfer coding too, and without chunks nothing else tells its end.
+/// one that states a transfer coding too, and without chunks nothing else tells its end. Guards
+/// also against a coded body that passes for the target's.
 #[test]
-fn a_transfer_coding_without_chunks_is_reported_as_broken() {
+fn a_transfer_coding_other_than_chunks_is_reported_as_broken() {
     const PART: &str =
         "HTTP/1.1 200 OK\r\nTransfer-Encoding: identity\r\nContent-Length: 4\r\n\r\nok";
     const CODED: &str = "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\nok";
+    const CODED_CHUNKS: &str = "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip, chunked\r\n\r\n\
+                                2\r\nok\r\n0\r\n\r\n";
     const CHUNKED: &str =
         "HTTP/1.1 200 OK\r\nTransfer-Encoding: Chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n";
-    check(&[&[PART], &[CODED], &[CHUNKED]], async |client, address| {
-        for _ in 0..2 {
+    check(&[&[PART], &[CODED], &[CODED_CHUNKS], &[CHUNKED]], async |client, address| {
+        for _ in 0..3 {
             assert!(matches!(call(&client, address).await, Err(Failure::Broken(_))));
         }
         assert_eq!(call(&client, address).await.unwrap(), "ok");
